--- /dev/null
+++ b/cmd/lilaclead/main.go
@@ -0,0 +1,182 @@
+// Command lilaclead is the controller and the operators' client of its
+// administration API.
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"lilaclead"
+	"lilaclead/internal/admin"
+	"lilaclead/internal/wire"
+)
+
+// version is the release's name.
+const version = "0.1.0"
+
+type cli struct {
+	Config string `help:"Settings file of the platform (TOML)." placeholder:"FILE"`
+
+	Serve   serveCmd   `cmd:"" default:"1" help:"Serve as a controller (the default)."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file and print every error with its field."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+	Setting struct {
+		Addr string  `help:"Peer address of any controller." required:"" placeholder:"HOST:PORT"`
+		List listCmd `cmd:"" help:"List all settings with value, default and allowed range."`
+		Get  getCmd  `cmd:"" help:"Print one setting."`
+		Set  setCmd  `cmd:"" help:"Change one setting on all controllers."`
+	} `cmd:"" name:"settings" help:"Read and change the operators' own settings."`
+}
+
+type (
+	serveCmd   struct{}
+	checkCmd   struct{}
+	versionCmd struct{}
+	listCmd    struct{}
+	getCmd     struct {
+		Name string `arg:""`
+	}
+	setCmd struct {
+		Name  string `arg:""`
+		Value string `arg:""`
+	}
+)
+
+func (c *cli) load() (*lilaclead.Config, error) {
+	if c.Config == "" {
+		return nil, errors.New("--config FILE is missing")
+	}
+	return lilaclead.LoadConfig(c.Config)
+}
+
+func (serveCmd) Run(c *cli) error {
+	cfg, err := c.load()
+	if err != nil {
+		return err
+	}
+	n, err := lilaclead.New(cfg)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return n.Run(ctx)
+}
+
+func (checkCmd) Run(c *cli) error {
+	if _, err := c.load(); err != nil {
+		return err
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+func (versionCmd) Run() error {
+	fmt.Println("lilaclead", version)
+	return nil
+}
+
+// call makes one request of the administration API.
+func call(method, addr string, in, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var body []byte
+	if in != nil {
+		body = wire.Encode(in)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/admin/settings", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	raw, err := wire.ReadBody(resp.Body, 1<<20)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		var r wire.Reason
+		if wire.Decode(raw, &r) != nil {
+			r.Error = "unreadable answer"
+		}
+		if r.Field != "" {
+			r.Error = r.Field + ": " + r.Error
+		}
+		return fmt.Errorf("%s (%d)", r.Error, resp.StatusCode)
+	}
+	return wire.Decode(raw, out)
+}
+
+func (listCmd) Run(c *cli) error {
+	var l admin.Listing
+	if err := call("GET", c.Setting.Addr, nil, &l); err != nil {
+		return err
+	}
+	for _, s := range l.Settings {
+		fmt.Printf("%-24s %-8v (default %v; %s) %s\n", s.Name, s.Value, s.Default, s.Allowed, s.About)
+	}
+	return nil
+}
+
+func (g getCmd) Run(c *cli) error {
+	var l admin.Listing
+	if err := call("GET", c.Setting.Addr, nil, &l); err != nil {
+		return err
+	}
+	for _, s := range l.Settings {
+		if s.Name == g.Name {
+			fmt.Println(s.Value)
+			return nil
+		}
+	}
+	return fmt.Errorf("%s: unknown setting", g.Name)
+}
+
+func (s setCmd) Run(c *cli) error {
+	var l admin.Listing
+	if err := call("GET", c.Setting.Addr, nil, &l); err != nil {
+		return err
+	}
+	var value any = s.Value
+	if f, err := strconv.ParseFloat(s.Value, 64); err == nil {
+		value = f
+	}
+	var done struct {
+		Version wire.Revision `cbor:"version"`
+	}
+	if err := call("PUT", c.Setting.Addr, admin.Change{Version: &l.Version, Set: map[string]any{s.Name: value}}, &done); err != nil {
+		return err
+	}
+	fmt.Printf("%s = %v, version %d\n", s.Name, s.Value, done.Version)
+	return nil
+}
+
+func main() {
+	var c cli
+	k, err := kong.New(&c, kong.Name("lilaclead"), kong.Description("A cluster scheduler: one controller of a deployment, and its operators' client."), kong.UsageOnError())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lilaclead:", err)
+		os.Exit(1)
+	}
+	ctx, err := k.Parse(os.Args[1:])
+	if err == nil {
+		err = ctx.Run(&c)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "lilaclead: %v\n", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,193 @@
+// Package admin is the operators' side of a node: their own settings, the
+// metrics and a view of what goes on, on the peers' address.
+package admin
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/leader"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/store"
+	"lilaclead/internal/tuning"
+	"lilaclead/internal/wire"
+)
+
+// Admin serves operators.
+type Admin struct {
+	cfg    *config.Config
+	store  *store.Client
+	box    *tuning.Box
+	leader *leader.Leader
+	mesh   *peer.Mesh
+	met    *Metrics
+	log    *slog.Logger
+}
+
+// New makes the operators' side of a node.
+func New(cfg *config.Config, st *store.Client, box *tuning.Box, l *leader.Leader, mesh *peer.Mesh, met *Metrics, log *slog.Logger) *Admin {
+	return &Admin{cfg: cfg, store: st, box: box, leader: l, mesh: mesh, met: met, log: log}
+}
+
+// Routes adds the operators' paths.
+func (a *Admin) Routes(r *httprouter.Router) {
+	r.GET("/admin/settings", a.list)
+	r.PUT("/admin/settings", a.put)
+	r.GET("/admin/view", a.view)
+	r.Handler("GET", "/metrics", a.met.handler())
+}
+
+// Setting as it is listed.
+type Setting struct {
+	Name    string `cbor:"name"`
+	Value   any    `cbor:"value"`
+	Default any    `cbor:"default"`
+	Allowed string `cbor:"allowed"`
+	About   string `cbor:"about"`
+}
+
+// Listing of all settings with the version to name in a change.
+type Listing struct {
+	Version  wire.Revision `cbor:"version"`
+	Settings []Setting     `cbor:"settings"`
+}
+
+// Change of settings; Version must be the listing's, or 0 for none yet.
+type Change struct {
+	Version *wire.Revision `cbor:"version"`
+	Set     map[string]any `cbor:"set"`
+}
+
+// stored reads what operators have set.
+func (a *Admin) stored(ctx context.Context) (map[string]any, wire.Revision, error) {
+	e, err := a.store.Get(ctx, store.User, store.SettingsKey)
+	if errors.Is(err, store.ErrMissing) {
+		return map[string]any{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	m := map[string]any{}
+	if err := wire.Decode(e.Value, &m); err != nil {
+		a.log.Error("stored settings are undecodable", "err", err)
+	}
+	return m, e.Stamp, nil
+}
+
+func (a *Admin) list(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	m, version, err := a.stored(r.Context())
+	if err != nil {
+		wire.Refuse(w, http.StatusServiceUnavailable, "state service not available", 1)
+		return
+	}
+	v, err := tuning.Apply(tuning.Default(), m, false)
+	if err != nil {
+		a.log.Error("stored settings are out of range", "err", err)
+	}
+	def := tuning.Default()
+	out := Listing{Version: version}
+	for _, f := range tuning.Fields {
+		out.Settings = append(out.Settings, Setting{f.Name, f.Get(&v), f.Get(&def), f.Range(), f.About})
+	}
+	wire.Answer(w, http.StatusOK, out)
+}
+
+func (a *Admin) put(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	raw, err := wire.ReadBody(r.Body, wire.MaxBody)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		wire.Answer(w, http.StatusRequestEntityTooLarge, wire.Reason{Error: err.Error()})
+		return
+	}
+	var c Change
+	if !wire.IsMap(raw) || wire.Decode(raw, &c) != nil {
+		wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: "not a CBOR map of version and set"})
+		return
+	}
+	if c.Version == nil || len(c.Set) == 0 {
+		wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: "missing", Field: "version and set"})
+		return
+	}
+	m, version, err := a.stored(r.Context())
+	if err != nil {
+		wire.Refuse(w, http.StatusServiceUnavailable, "state service not available", 1)
+		return
+	}
+	if _, err := tuning.Apply(tuning.Default(), c.Set, true); err != nil {
+		var fe wire.FieldError
+		errors.As(err, &fe)
+		wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: fe.Reason, Field: fe.Field})
+		return
+	}
+	if version != *c.Version {
+		wire.Answer(w, http.StatusConflict, wire.Reason{Error: "the settings have changed since that version"})
+		return
+	}
+	for k, v := range c.Set {
+		m[k] = v
+	}
+	rev, err := a.store.Commit(r.Context(), store.Duty, wire.Txn{
+		Guards: []wire.Guard{{Key: store.SettingsKey, Stamp: version}},
+		Writes: []wire.Write{{Put: store.SettingsKey, Value: wire.Encode(m)}},
+	})
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		wire.Answer(w, http.StatusConflict, wire.Reason{Error: "the settings have changed since that version"})
+	case err != nil:
+		wire.Refuse(w, http.StatusServiceUnavailable, "state service not available", 1)
+	default:
+		a.log.Info("settings changed", "version", rev, "set", c.Set)
+		wire.Answer(w, http.StatusOK, struct {
+			Version wire.Revision `cbor:"version"`
+		}{rev})
+	}
+}
+
+// Follow applies what operators set, on every node, until the context ends.
+func (a *Admin) Follow(ctx context.Context, changed func(tuning.Values)) {
+	var last wire.Revision
+	for {
+		if m, version, err := a.stored(ctx); err == nil && version != last {
+			last = version
+			v, err := tuning.Apply(tuning.Default(), m, false)
+			if err != nil {
+				a.log.Error("stored settings are out of range; the rest applies", "err", err)
+			}
+			a.box.Set(v)
+			changed(v)
+			a.log.Info("settings applied", "version", version)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(5 * time.Second):
+		}
+	}
+}
+
+// View of a node, read-only.
+type View struct {
+	Node   wire.NodeID  `cbor:"node"`
+	Token  wire.Token   `cbor:"token"`
+	Leader wire.NodeID  `cbor:"leader"`
+	Leads  bool         `cbor:"leads"`
+	Serves bool         `cbor:"serves"`
+	Term   *leader.View `cbor:"term,omitempty"`
+}
+
+func (a *Admin) view(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	v := a.mesh.View()
+	out := View{Node: a.cfg.HostName, Token: v.Token, Leader: v.Leader, Leads: a.leader.Leads(), Serves: a.store.Reachable()}
+	if out.Leads {
+		out.Leader = a.cfg.HostName
+		out.Term = a.leader.Look(r.Context())
+	}
+	wire.Answer(w, http.StatusOK, out)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,228 @@
+// Package fleet decides which machines to rent and which to return: from a
+// snapshot of demand, machines and offers to bookings and releases. It is
+// pure; it knows no clock and does no I/O.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"lilaclead/internal/placement"
+	"lilaclead/internal/wire"
+)
+
+// Offer is a type, zone and kind that may be rented now.
+type Offer struct {
+	Kit   wire.Kit
+	Zone  wire.Zone
+	Spot  bool
+	Total placement.Res
+	Price float64 // per hour, now
+	BootS float64
+	// PullRate in GB a second.
+	PullRate float64
+	// Room is how many more may be asked for at once.
+	Room int
+}
+
+// Machine that we have, or that is on its way.
+type Machine struct {
+	ID   wire.MachineID
+	Kit  wire.Kit
+	Zone wire.Zone
+	Spot bool
+	// Free room; of a machine that still boots, all of it.
+	Free, Total placement.Res
+	Booting     bool
+	// Idle: up, with nothing on it for IdleS.
+	Idle  bool
+	IdleS float64
+	// PaidS is how much longer it is paid for whatever we do.
+	PaidS float64
+	Price float64
+	// Services on it.
+	Services int
+}
+
+// Demand is a number of equal units that should run at the same time.
+type Demand struct {
+	Spec  *wire.Spec
+	Units int
+	// Spare marks room for units that have not come yet.
+	Spare bool
+	// Rank orders demands, the highest first.
+	Rank float64
+	// ZoneLeft is how many units each zone may still take; nil: any number.
+	ZoneLeft map[wire.Zone]int
+}
+
+// Snapshot is all that a plan looks at.
+type Snapshot struct {
+	Machines []Machine
+	Offers   []Offer
+	Demands  []Demand
+	// KeepIdleS is how long a machine is kept with nothing to do.
+	KeepIdleS float64
+	// MaxRents bounds the machines rented by one plan.
+	MaxRents int
+}
+
+// Rent asks for machines of one offer.
+type Rent struct {
+	Kit   wire.Kit
+	Zone  wire.Zone
+	Spot  bool
+	Count int
+	For   wire.JobID
+}
+
+// Plan is what to do.
+type Plan struct {
+	Rents    []Rent
+	Releases []wire.MachineID
+}
+
+type bin struct {
+	kit      wire.Kit
+	zone     wire.Zone
+	spot     bool
+	free     placement.Res
+	total    placement.Res
+	services bool
+	idle     bool
+	used     bool
+	price    float64
+}
+
+func (b *bin) allowed(s *wire.Spec) bool {
+	m := placement.Machine{Kit: b.kit, Zone: b.zone, Spot: b.spot}
+	return placement.Allowed(s, &m)
+}
+
+// Make computes a plan: demands are packed into the room there is, the rest
+// into the offers that are cheapest per unit that they would really hold,
+// and what stays idle after that is returned.
+func Make(s *Snapshot) Plan {
+	bins := make([]bin, len(s.Machines))
+	for i, m := range s.Machines {
+		bins[i] = bin{m.Kit, m.Zone, m.Spot, m.Free, m.Total, m.Services > 0, m.Idle, !m.Idle && !m.Booting, m.Price}
+	}
+	offers := slices.Clone(s.Offers)
+	demands := slices.Clone(s.Demands)
+	slices.SortStableFunc(demands, func(a, b Demand) int { return cmp.Compare(b.Rank, a.Rank) })
+	type want struct {
+		offer int
+		id    wire.JobID
+	}
+	var wants []want
+	for di := range demands {
+		d := &demands[di]
+		take := placement.Of(d.Spec)
+		left := d.Units
+		zone := func(z wire.Zone, n int) int {
+			if d.ZoneLeft != nil {
+				n = min(n, d.ZoneLeft[z])
+			}
+			return n
+		}
+		settle := func(b *bin) {
+			n := zone(b.zone, min(left, take.Units(b.free)))
+			if n <= 0 || !b.allowed(d.Spec) {
+				return
+			}
+			b.free = b.free.Minus(take.Times(float64(n)))
+			b.used = true
+			b.services = b.services || d.Spec.Service()
+			left -= n
+			if d.ZoneLeft != nil {
+				d.ZoneLeft[b.zone] -= n
+			}
+		}
+		order := make([]int, len(bins))
+		for i := range order {
+			order[i] = i
+		}
+		// Fill what is in use before what stands idle, the cheap before the
+		// dear, the fuller before the emptier.
+		slices.SortStableFunc(order, func(x, y int) int {
+			a, b := &bins[x], &bins[y]
+			if d.Spec.Service() && a.services != b.services {
+				if a.services {
+					return -1
+				}
+				return 1
+			}
+			if a.used != b.used {
+				if a.used {
+					return -1
+				}
+				return 1
+			}
+			if a.spot != b.spot {
+				if a.spot {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(a.free.CPUs, b.free.CPUs)
+		})
+		for _, i := range order {
+			if left == 0 {
+				break
+			}
+			settle(&bins[i])
+		}
+		for left > 0 && len(wants) < s.MaxRents {
+			best, bestCost := -1, 0.0
+			for i := range offers {
+				o := &offers[i]
+				b := bin{kit: o.Kit, zone: o.Zone, spot: o.Spot}
+				n := zone(o.Zone, min(left, take.Units(o.Total)))
+				if o.Room <= 0 || n <= 0 || !b.allowed(d.Spec) || d.Spec.ImageGB > 0 && o.PullRate <= 0 {
+					continue
+				}
+				cost := o.Price / float64(n)
+				// Prefer the zone that has fewer machines, so that a zone's
+				// loss takes less with it.
+				cost *= 1 + 0.01*float64(inZone(bins, o.Zone))
+				if best < 0 || cost < bestCost {
+					best, bestCost = i, cost
+				}
+			}
+			if best < 0 {
+				break
+			}
+			o := &offers[best]
+			o.Room--
+			wants = append(wants, want{best, d.Spec.ID})
+			bins = append(bins, bin{kit: o.Kit, zone: o.Zone, spot: o.Spot, free: o.Total, total: o.Total, price: o.Price})
+			settle(&bins[len(bins)-1])
+		}
+	}
+	var plan Plan
+	for _, w := range wants {
+		o := &offers[w.offer]
+		at := slices.IndexFunc(plan.Rents, func(r Rent) bool { return r.Kit == o.Kit && r.Zone == o.Zone && r.Spot == o.Spot })
+		if at < 0 {
+			plan.Rents = append(plan.Rents, Rent{o.Kit, o.Zone, o.Spot, 0, w.id})
+			at = len(plan.Rents) - 1
+		}
+		plan.Rents[at].Count++
+	}
+	for i, m := range s.Machines {
+		if m.Idle && !bins[i].used && m.IdleS >= s.KeepIdleS && m.PaidS <= 0 {
+			plan.Releases = append(plan.Releases, m.ID)
+		}
+	}
+	return plan
+}
+
+func inZone(bins []bin, z wire.Zone) int {
+	n := 0
+	for i := range bins {
+		if bins[i].zone == z {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,319 @@
+// Package intake is the users' side of a node: submissions, polls and
+// cancellations, on any node, whether it leads or not. What it says of a job
+// comes from the state service; only final states are remembered.
+package intake
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// Intake answers users.
+type Intake struct {
+	set     *config.Settings
+	store   *store.Client
+	flavors func() []wire.Flavor
+	log     *slog.Logger
+	// stage holds the requests in work; a full stage refuses at once.
+	stage  chan struct{}
+	finals finals
+	// Observe is told of every answer, for the metrics.
+	Observe func(op string, status int, took time.Duration)
+}
+
+// New makes an intake. The stage is small: what waits in it waits for the
+// state service, which takes milliseconds.
+func New(set *config.Settings, st *store.Client, flavors func() []wire.Flavor, log *slog.Logger) *Intake {
+	return &Intake{
+		set: set, store: st, flavors: flavors, log: log,
+		stage:   make(chan struct{}, max(8, min(48, set.Limits.FDLimit/20))),
+		Observe: func(string, int, time.Duration) {},
+	}
+}
+
+// finals remembers final states, which never change; two generations bound
+// its size.
+type finals struct {
+	sync.Mutex
+	young, old map[wire.JobID]wire.JobState
+}
+
+const finalsMost = 8192
+
+func (f *finals) get(id wire.JobID) (wire.JobState, bool) {
+	f.Lock()
+	defer f.Unlock()
+	s, ok := f.young[id]
+	if !ok {
+		s, ok = f.old[id]
+	}
+	return s, ok
+}
+
+func (f *finals) put(s wire.JobState) {
+	if !s.Status.Final() {
+		return
+	}
+	f.Lock()
+	defer f.Unlock()
+	if f.young == nil || len(f.young) >= finalsMost {
+		f.young, f.old = map[wire.JobID]wire.JobState{}, f.young
+	}
+	f.young[s.ID] = s
+}
+
+// Routes adds the users' paths.
+func (in *Intake) Routes(r *httprouter.Router) {
+	r.POST("/v1/jobs", in.staged("submit", in.submit))
+	r.GET("/v1/jobs/:id", in.staged("poll", in.poll))
+	r.POST("/v1/jobs/:id/cancel", in.staged("cancel", in.cancel))
+}
+
+type handler func(ctx context.Context, r *http.Request, p httprouter.Params) answer
+
+// answer of a request; retryS is set where the user should come back.
+type answer struct {
+	status int
+	body   any
+	retryS int
+}
+
+func refusal(status int, reason string) answer {
+	return answer{status: status, body: wire.Reason{Error: reason}, retryS: 1}
+}
+
+var unavailable = refusal(http.StatusServiceUnavailable, "state service not available")
+
+func (in *Intake) staged(op string, h handler) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		begin := time.Now()
+		var a answer
+		select {
+		case in.stage <- struct{}{}:
+			ctx, cancel := context.WithTimeout(r.Context(), 1800*time.Millisecond)
+			a = h(ctx, r, p)
+			cancel()
+			<-in.stage
+		default:
+			a = refusal(http.StatusTooManyRequests, "too many requests in work")
+		}
+		if a.status == http.StatusRequestEntityTooLarge {
+			w.Header().Set("Connection", "close")
+		}
+		if a.retryS > 0 {
+			in.log.Debug("refuses", "op", op, "status", a.status, "body", a.body)
+			wire.Refuse(w, a.status, a.body.(wire.Reason).Error, a.retryS)
+		} else {
+			wire.Answer(w, a.status, a.body)
+		}
+		in.Observe(op, a.status, time.Since(begin))
+	}
+}
+
+func (in *Intake) submit(ctx context.Context, r *http.Request, _ httprouter.Params) answer {
+	raw, err := wire.ReadBody(r.Body, wire.MaxBody)
+	if errors.Is(err, wire.ErrTooLarge) {
+		return answer{status: http.StatusRequestEntityTooLarge, body: wire.Reason{Error: err.Error()}}
+	}
+	if err != nil {
+		return answer{status: http.StatusBadRequest, body: wire.Reason{Error: "body not readable"}}
+	}
+	spec, err := wire.DecodeSpec(raw)
+	if err != nil {
+		var fe wire.FieldError
+		errors.As(err, &fe)
+		in.log.Info("refuses a malformed submission", "err", err)
+		return answer{status: http.StatusBadRequest, body: wire.Reason{Error: fe.Reason, Field: fe.Field}}
+	}
+	if s, ok := in.finals.get(spec.ID); ok {
+		return answer{status: http.StatusOK, body: wire.JobBrief{ID: s.ID, Status: s.Status}}
+	}
+	if why, sure := in.never(&spec); why != "" {
+		// A job that was accepted stays so, whatever is offered now.
+		if s, err := in.state(ctx, spec.ID); err == nil {
+			return answer{status: http.StatusOK, body: wire.JobBrief{ID: s.ID, Status: s.Status}}
+		} else if !errors.Is(err, store.ErrMissing) {
+			return unavailable
+		}
+		if !sure {
+			return refusal(http.StatusServiceUnavailable, why)
+		}
+		in.log.Info("refuses a job that can never run", "job", spec.ID, "why", why)
+		return answer{status: http.StatusUnprocessableEntity, body: wire.Reason{Error: why}}
+	}
+	rec := store.JobRecord{Spec: spec, Status: wire.Queued, At: wire.StampOf(time.Now())}
+	_, err = in.store.Commit(ctx, store.User, wire.Txn{
+		Guards: []wire.Guard{{Key: store.JobKey(spec.ID), Stamp: 0}, {Key: store.PastKey(spec.ID), Stamp: 0}},
+		Writes: []wire.Write{{Put: store.JobKey(spec.ID), Value: wire.Encode(rec)}},
+	})
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		in.log.Info("accepts", "job", spec.ID, "lane", spec.Lane, "parts", spec.Parts)
+		return answer{status: http.StatusCreated, body: wire.JobBrief{ID: spec.ID, Status: wire.Queued}}
+	case errors.As(err, &conflict):
+		s, err := in.state(ctx, spec.ID)
+		if err != nil {
+			return unavailable
+		}
+		return answer{status: http.StatusOK, body: wire.JobBrief{ID: s.ID, Status: s.Status}}
+	case errors.Is(err, store.ErrInvalid):
+		in.log.Error("state service calls a submission invalid", "job", spec.ID)
+		return unavailable
+	default:
+		return unavailable
+	}
+}
+
+// never says why a job can never run, and whether that is sure.
+func (in *Intake) never(s *wire.Spec) (why string, sure bool) {
+	team, ok := in.set.Team(s.Owner)
+	if !ok {
+		return "unknown team", true
+	}
+	n := 1.0
+	if s.Service() {
+		n = float64(s.Parts)
+	}
+	if team.CPUsMax > 0 && n*s.CPUs > team.CPUsMax+wire.Eps || team.GPUsMax > 0 && n*s.Cards > team.GPUsMax+wire.Eps {
+		return "needs more than the team's limit", true
+	}
+	fs := in.flavors()
+	if fs == nil {
+		return "machine types not known yet", false
+	}
+	for i := range fs {
+		if fs[i].Fits(s) {
+			return "", true
+		}
+	}
+	return "a task fits no allowed machine type", true
+}
+
+// state reads a job's state: the live record first, then the final one.
+func (in *Intake) state(ctx context.Context, id wire.JobID) (wire.JobState, error) {
+	if s, ok := in.finals.get(id); ok {
+		return s, nil
+	}
+	e, err := in.store.Get(ctx, store.User, store.JobKey(id))
+	if err == nil {
+		var rec store.JobRecord
+		if err := wire.Decode(e.Value, &rec); err != nil {
+			return wire.JobState{}, err
+		}
+		s := wire.JobState{ID: id, Status: rec.Status}
+		in.finals.put(s)
+		return s, nil
+	}
+	if !errors.Is(err, store.ErrMissing) {
+		return wire.JobState{}, err
+	}
+	e, err = in.store.Get(ctx, store.User, store.PastKey(id))
+	if err != nil {
+		return wire.JobState{}, err
+	}
+	var rec store.PastRecord
+	if err := wire.Decode(e.Value, &rec); err != nil {
+		return wire.JobState{}, err
+	}
+	s := wire.JobState{ID: id, Status: rec.Status, Done: rec.Done}
+	in.finals.put(s)
+	return s, nil
+}
+
+func (in *Intake) poll(ctx context.Context, _ *http.Request, p httprouter.Params) answer {
+	id := wire.JobID(p.ByName("id"))
+	if !id.Valid() {
+		return answer{status: http.StatusNotFound, body: wire.Reason{Error: "no such job"}}
+	}
+	s, err := in.state(ctx, id)
+	switch {
+	case errors.Is(err, store.ErrMissing):
+		return answer{status: http.StatusNotFound, body: wire.Reason{Error: "no such job"}}
+	case err != nil:
+		return unavailable
+	}
+	if s.Status == wire.Queued {
+		// The counts are for display; without them the state still holds.
+		if entries, _, err := in.store.List(ctx, store.User, store.RunPrefix+string(id)+"/"); err == nil {
+			for _, e := range entries {
+				var c store.ChunkRecord
+				if wire.Decode(e.Value, &c) == nil {
+					s.Done += store.Count(c.Done)
+					s.Running += len(c.Held)
+				}
+			}
+		}
+		if s.Running > 0 {
+			s.Status = wire.Running
+		}
+	}
+	return answer{status: http.StatusOK, body: s}
+}
+
+func (in *Intake) cancel(ctx context.Context, r *http.Request, p httprouter.Params) answer {
+	if _, err := wire.ReadBody(r.Body, wire.MaxBody); errors.Is(err, wire.ErrTooLarge) {
+		return answer{status: http.StatusRequestEntityTooLarge, body: wire.Reason{Error: err.Error()}}
+	}
+	id := wire.JobID(p.ByName("id"))
+	if !id.Valid() {
+		return answer{status: http.StatusNotFound, body: wire.Reason{Error: "no such job"}}
+	}
+	for range 4 {
+		if s, ok := in.finals.get(id); ok {
+			return answer{status: http.StatusOK, body: wire.JobBrief{ID: id, Status: s.Status}}
+		}
+		e, err := in.store.Get(ctx, store.User, store.JobKey(id))
+		if errors.Is(err, store.ErrMissing) {
+			s, err := in.state(ctx, id)
+			switch {
+			case errors.Is(err, store.ErrMissing):
+				return answer{status: http.StatusNotFound, body: wire.Reason{Error: "no such job"}}
+			case err != nil:
+				return unavailable
+			case s.Status.Final():
+				return answer{status: http.StatusOK, body: wire.JobBrief{ID: id, Status: s.Status}}
+			}
+			continue // submitted between the two reads
+		}
+		if err != nil {
+			return unavailable
+		}
+		var rec store.JobRecord
+		if err := wire.Decode(e.Value, &rec); err != nil {
+			in.log.Error("undecodable job record", "job", id, "err", err)
+			return unavailable
+		}
+		if rec.Status == wire.Cancelled {
+			in.finals.put(wire.JobState{ID: id, Status: wire.Cancelled})
+			continue
+		}
+		rec.Status, rec.Ended = wire.Cancelled, wire.StampOf(time.Now())
+		_, err = in.store.Commit(ctx, store.Duty, wire.Txn{
+			Guards: []wire.Guard{{Key: store.JobKey(id), Stamp: e.Stamp}},
+			Writes: []wire.Write{{Put: store.JobKey(id), Value: wire.Encode(rec)}},
+		})
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			in.log.Info("cancelled by its user", "job", id)
+			in.finals.put(wire.JobState{ID: id, Status: wire.Cancelled})
+			return answer{status: http.StatusOK, body: wire.JobBrief{ID: id, Status: wire.Cancelled}}
+		case errors.As(err, &conflict):
+			continue // done or cancelled meanwhile
+		default:
+			return unavailable
+		}
+	}
+	return unavailable
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,184 @@
+// Package leader is the part of the service that one node at a time runs:
+// the election, the workers' reports, the rounds, the commands and the fleet.
+package leader
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"lilaclead/internal/cloud"
+	"lilaclead/internal/config"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/store"
+	"lilaclead/internal/tuning"
+	"lilaclead/internal/wire"
+)
+
+// Deps is what the leader works with.
+type Deps struct {
+	Config  *config.Config
+	Store   *store.Client
+	Cloud   *cloud.Client
+	Mesh    *peer.Mesh
+	Tuning  *tuning.Box
+	Flavors *FlavorBox
+	Log     *slog.Logger
+	Metrics Metrics
+}
+
+// Metrics is told what happens; nil functions are not allowed.
+type Metrics struct {
+	Round   func(took time.Duration, starts, halts int)
+	Led     func()
+	Report  func(status string)
+	Waited  func(lane string, seconds float64)
+	Command func(outcome string)
+	Moved   func(why string)
+	Fleet   func(what string, n int)
+}
+
+// FlavorBox shares the machine types between the actors of a node.
+type FlavorBox struct{ p atomic.Pointer[[]wire.Flavor] }
+
+// Get is the types last seen, nil if none ever were.
+func (b *FlavorBox) Get() []wire.Flavor {
+	if f := b.p.Load(); f != nil {
+		return *f
+	}
+	return nil
+}
+
+// Set replaces them.
+func (b *FlavorBox) Set(f []wire.Flavor) { b.p.Store(&f) }
+
+// Leader campaigns for the office and serves it.
+type Leader struct {
+	Deps
+	nonce string
+	term  atomic.Pointer[term]
+	// heard is when each worker last turned to this node; the handlers feed
+	// it through a channel.
+	turned chan wire.MachineID
+	hears  atomic.Int64
+	direct *http.Client
+	// shunned: until when this node leaves the office to others.
+	shunned time.Time
+}
+
+// New makes the leader's part of a node.
+func New(d Deps) *Leader {
+	return &Leader{
+		Deps:   d,
+		nonce:  rand.Text(),
+		turned: make(chan wire.MachineID, 64),
+		direct: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxConnsPerHost:     2,
+			MaxIdleConnsPerHost: 1,
+			MaxIdleConns:        max(16, d.Config.Settings.Limits.FDLimit/8),
+			IdleConnTimeout:     20 * time.Second,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+// Leads tells whether this node holds the office now.
+func (l *Leader) Leads() bool { t := l.term.Load(); return t != nil && t.answering() }
+
+// Hears is how many workers turned to this node lately.
+func (l *Leader) Hears() int { return int(l.hears.Load()) }
+
+// Run campaigns and serves until the context ends.
+func (l *Leader) Run(ctx context.Context) {
+	go l.listen(ctx)
+	for ctx.Err() == nil {
+		o, ok := l.campaign(ctx)
+		if !ok {
+			continue
+		}
+		l.Mesh.Raise(ctx, o.token)
+		t := newTerm(l, o)
+		l.term.Store(t)
+		l.Metrics.Led()
+		l.Log.Info("leads", "token", o.token)
+		why := t.run(ctx)
+		l.term.Store(nil)
+		l.Log.Info("leads no more", "token", o.token, "why", why)
+	}
+}
+
+// listen counts the workers that turn to this node.
+func (l *Leader) listen(ctx context.Context) {
+	seen := map[wire.MachineID]time.Time{}
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-l.turned:
+			seen[id] = time.Now()
+		case now := <-tick.C:
+			for id, at := range seen {
+				if now.Sub(at) > 6*time.Second {
+					delete(seen, id)
+				}
+			}
+			l.hears.Store(int64(len(seen)))
+		}
+	}
+}
+
+// Hello handles a worker's report.
+func (l *Leader) Hello(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	raw, err := wire.ReadBody(r.Body, wire.MaxBody)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		wire.Answer(w, http.StatusRequestEntityTooLarge, wire.Reason{Error: err.Error()})
+		return
+	}
+	var rep wire.Report
+	if err := wire.Decode(raw, &rep); err != nil || rep.Host == "" {
+		wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: "not a report"})
+		return
+	}
+	select {
+	case l.turned <- rep.Host:
+	default:
+	}
+	t := l.term.Load()
+	if t == nil || !t.answering() {
+		l.Metrics.Report("elsewhere")
+		v := l.Mesh.View()
+		if v.Leader != "" {
+			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: v.Leader})
+			return
+		}
+		wire.Refuse(w, http.StatusServiceUnavailable, "no leader known", 1)
+		return
+	}
+	ask := hello{rep: rep, reply: make(chan wire.Orders, 1)}
+	ctx, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+	defer cancel()
+	select {
+	case t.hellos <- ask:
+	case <-t.over:
+	case <-ctx.Done():
+	}
+	select {
+	case o := <-ask.reply:
+		l.Metrics.Report("ok")
+		wire.Answer(w, http.StatusOK, o)
+	case <-t.over:
+		wire.Refuse(w, http.StatusServiceUnavailable, "no longer leads", 1)
+	case <-ctx.Done():
+		wire.Refuse(w, http.StatusServiceUnavailable, "busy", 1)
+	}
+}
--- /dev/null
+++ b/internal/leader/machines.go
@@ -0,0 +1,579 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lilaclead/internal/cloud"
+	"lilaclead/internal/fleet"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/placement"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// offerID names what can be rented.
+type offerID struct {
+	kit  wire.Kit
+	zone wire.Zone
+	spot bool
+}
+
+// backoff of one offer after it was refused.
+type backoff struct {
+	until time.Time
+	wait  time.Duration
+}
+
+// booking that is not yet answered.
+type booking struct {
+	wire.Booking
+	since time.Time
+}
+
+type fleetState struct {
+	offers    map[offerID]*backoff
+	bookings  map[string]*booking
+	seq       int
+	cloudDown time.Time // no plans before
+	downWait  time.Duration
+	orphans   []wire.Guard
+	loads     []load
+	// boots are the boot times seen per type, relative to what was announced.
+	released int
+}
+
+// load is the demand of services at a time.
+type load struct {
+	at    time.Time
+	units int
+}
+
+func (f *fleetState) init() {
+	f.offers = map[offerID]*backoff{}
+	f.bookings = map[string]*booking{}
+}
+
+// listHosts reads the machine list again and again.
+func (t *term) listHosts(ctx context.Context) {
+	wait := 4 * time.Second
+	for {
+		hosts, err := t.l.Cloud.List(ctx)
+		next := wait
+		if err == nil {
+			t.post(func() { t.hostList(hosts) })
+		} else {
+			next = time.Second + rand.N(time.Second)
+			t.log().Debug("machine list refused", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(next):
+		}
+	}
+}
+
+// watchFlavors keeps the types and prices fresh and stores them for nodes
+// that start while the cloud is down.
+func (t *term) watchFlavors(ctx context.Context) {
+	stored := false
+	for {
+		fs, err := t.l.Cloud.Flavors(ctx)
+		next := 20 * time.Second
+		if err == nil {
+			t.l.Flavors.Set(fs)
+			if !stored {
+				_, err := t.l.Store.Commit(ctx, store.Duty, wire.Txn{Writes: []wire.Write{{Put: store.FlavorsKey, Value: wire.Encode(wire.Flavors{Kits: fs})}}})
+				stored = err == nil
+			}
+			t.post(t.wantRound)
+		} else {
+			next = 2*time.Second + rand.N(time.Second)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(next):
+		}
+	}
+}
+
+// hostList takes in a machine list. A list lags and goes backwards: what it
+// lacks means nothing, and what it shows may be gone.
+func (t *term) hostList(hosts []wire.Host) {
+	now := time.Now()
+	t.listed = true
+	for _, h := range hosts {
+		if _, gone := t.gone[h.Name]; gone {
+			continue
+		}
+		known := t.machines[h.Name] != nil
+		m := t.machine(h.Name)
+		m.listed = now
+		if !known {
+			m.rentedAt = now.Add(-h.Age.Duration())
+			m.booting = h.State == wire.HostStarting
+		}
+		if m.upAt.IsZero() {
+			m.addr, m.kit, m.zone, m.spot = h.Addr, h.Kit, h.Site, h.Standby
+			if age := now.Add(-h.Age.Duration()); age.Before(m.rentedAt) {
+				m.rentedAt = age
+			}
+			if h.State == wire.HostRunning && t.recovered && m.baton < t.first && m.probes == 0 && !m.releasing {
+				t.probe(m)
+			}
+		}
+		if h.State == wire.HostFailed && !m.failed {
+			m.failed = true
+			t.log().Info("machine failed", "machine", m.id, "tasks", len(m.tasks))
+			t.release(m, "failed")
+		}
+	}
+	if !t.placing {
+		t.watchOffice(now)
+	}
+}
+
+// fleetUp notes that a machine reports for the first time.
+func (t *term) fleetUp(m *machine, now time.Time) {
+	if m.booting {
+		t.log().Info("machine up", "machine", m.id, "kit", m.kit, "zone", m.zone, "spot", m.spot, "after", now.Sub(m.rentedAt))
+		m.usedAt = now
+	}
+}
+
+// watchMachines looks for machines that are silent, late, or empty and
+// unwanted.
+func (t *term) watchMachines(now time.Time) {
+	for id, at := range t.gone {
+		if now.Sub(at) > 10*time.Minute {
+			delete(t.gone, id)
+		}
+	}
+	report := t.set.Workers.ReportS.Duration()
+	silentAfter := report*9/4 + time.Second
+	lostAfter := report*13/4 + 2*time.Second
+	up, silent, lost := 0, 0, 0
+	for _, m := range t.machines {
+		if m.booting || m.releasing {
+			continue
+		}
+		up++
+		if t.silence(m, now) > silentAfter {
+			silent++
+		}
+		if t.silence(m, now) > lostAfter {
+			lost++
+		}
+	}
+	// When many are silent it is rather this node that is cut off from them.
+	cutOff := silent >= 3 && silent*2 > up
+	if cutOff && lost*2 > up && t.deciding() && now.Sub(t.born) > lostAfter+t.set.Workers.LeaseS.Duration()/8 {
+		for name, o := range t.l.Mesh.View().Others {
+			if now.Sub(o.Heard) < peer.X && o.Serves && o.Hears*2 > up {
+				t.resign("workers reach " + string(name) + ", not this node")
+				return
+			}
+		}
+	}
+	for _, m := range t.machines {
+		t.watchMachine(m, now, silentAfter, lostAfter, cutOff)
+	}
+	if !t.deciding() || !t.recovered {
+		return
+	}
+	for _, j := range t.jobs {
+		if j.cancelled && j.held > 0 && now.Sub(j.cancelAt) > t.set.Workers.CancelS.Duration()*6/10 {
+			for _, a := range j.attempts() {
+				t.release(a.m, "a cancelled task could not be stopped")
+			}
+		}
+	}
+}
+
+// silence is how long a machine has said nothing to this term.
+func (t *term) silence(m *machine, now time.Time) time.Duration {
+	return now.Sub(later(m.seenAt, t.born))
+}
+
+func (t *term) watchMachine(m *machine, now time.Time, silentAfter, lostAfter time.Duration, cutOff bool) {
+	if m.releasing {
+		t.expire(m, now)
+		return
+	}
+	if m.booting {
+		ready := 30 * time.Second
+		if f := t.flavor(m.kit); f != nil {
+			ready = f.ReadyS.Duration()
+		}
+		if now.Sub(m.rentedAt) > ready*11/4+5*time.Second && t.deciding() {
+			t.release(m, "never came up")
+		}
+		return
+	}
+	if !t.deciding() || !t.recovered {
+		return
+	}
+	quiet := t.silence(m, now)
+	if quiet > silentAfter && m.probes < 2 && !m.busy {
+		t.probe(m)
+	}
+	gone := !m.notice.IsZero() && now.After(m.notice.Add(time.Second)) && quiet > report(t)+time.Second
+	if (quiet > lostAfter && m.probes > 0 || gone) && !cutOff {
+		t.release(m, "silent")
+		return
+	}
+	t.expire(m, now)
+	if m.drain != "" && len(m.tasks) == 0 && len(m.strays) == 0 {
+		t.release(m, m.drain)
+		return
+	}
+	for _, a := range m.tasks {
+		if a.planned {
+			continue
+		}
+		spec := &a.job.spec
+		if !m.notice.IsZero() && spec.SnapshotEveryS > 0 && !a.halting && m.notice.Sub(now) < spec.SnapshotS.Duration()+3*time.Second {
+			t.halt(a, spec.SnapshotS+1, "saves before its machine is taken")
+		}
+		if !m.notice.IsZero() && spec.Service() && !a.halting {
+			t.halt(a, 0, "its machine is taken")
+		}
+		if a.halting && a.haltSent.IsZero() || a.halting && now.Sub(a.haltSent) > 2*time.Second {
+			t.dispatch(m)
+		}
+		if a.lost && now.Sub(a.at) > 6*time.Second && !a.seen && (a.halting || m.drain != "") || m.lost.token == t.token && m.lost.token > 0 && len(m.tasks) == 0 {
+			t.wantRaise = true
+		}
+	}
+}
+
+func report(t *term) time.Duration { return t.set.Workers.ReportS.Duration() }
+
+// expire ends the tasks of a machine whose lease has surely run out: nobody
+// can have answered it within the lease, the clocks' drift and a margin.
+func (t *term) expire(m *machine, now time.Time) {
+	if len(m.tasks) == 0 || !t.recovered {
+		return
+	}
+	life := t.set.Workers.LeaseS.Duration()
+	life += life/500 + 1500*time.Millisecond // two clocks of 0.05% each, and the step to a full second
+	last := m.answered
+	if m.baton < t.first {
+		// It may not have seen our token, so an earlier leader may have
+		// answered it: until X after a majority took our token, or B at most.
+		other := t.born.Add(peer.B)
+		if !t.acked.IsZero() {
+			other = t.acked.Add(peer.X)
+		}
+		last = later(last, other)
+	}
+	if now.Sub(last) < life {
+		return
+	}
+	for _, a := range m.tasks {
+		if a.planned {
+			continue
+		}
+		// A direct launch of ours may still come, even after the lease; and
+		// a machine in a new session could take it only with that session.
+		if a.directBusy {
+			continue
+		}
+		t.log().Info("lease of a silent machine has run out", "task", a.task(), "try", a.try, "machine", m.id)
+		t.l.Metrics.Moved("lease ran out")
+		t.drop(a, taskPending)
+	}
+}
+
+// release returns a machine; its tasks count until the cloud has said that
+// it is gone.
+func (t *term) release(m *machine, why string) {
+	if m.releasing || !t.deciding() {
+		return
+	}
+	m.releasing = true
+	if m.drain == "" {
+		m.drain = why
+	}
+	t.log().Info("releases", "machine", m.id, "kit", m.kit, "zone", m.zone, "spot", m.spot, "why", why, "tasks", len(m.tasks), "age", time.Since(m.rentedAt))
+	t.l.Metrics.Fleet("released", 1)
+	go func() {
+		wait := 500 * time.Millisecond
+		for t.ctx.Err() == nil {
+			err := t.l.Cloud.Release(t.ctx, []wire.MachineID{m.id})
+			if err == nil {
+				t.post(func() { t.wasReleased(m) })
+				return
+			}
+			t.log().Debug("release not answered", "machine", m.id, "err", err)
+			select {
+			case <-t.ctx.Done():
+			case <-time.After(wait + rand.N(wait/2)):
+			}
+			wait = min(2*wait, 4*time.Second)
+		}
+	}()
+}
+
+func (t *term) wasReleased(m *machine) {
+	t.gone[m.id] = time.Now()
+	for _, a := range m.tasks {
+		t.l.Metrics.Moved("machine gone")
+		t.drop(a, taskPending)
+	}
+	delete(t.machines, m.id)
+	t.wantRound()
+}
+
+// resign gives the office up to a node that the workers reach.
+func (t *term) resign(why string) {
+	t.log().Info("resigns", "why", why)
+	t.l.shunned = time.Now().Add(15 * time.Second)
+	permit := t.permit
+	go t.l.Store.End(context.WithoutCancel(t.ctx), permit) //nolint:errcheck // else it runs out by itself
+	t.end(why)
+}
+
+// planFleet rents for what can't be placed and returns what is not needed.
+func (t *term) planFleet(now time.Time) {
+	flavors := t.l.Flavors.Get()
+	if !t.recovered || !t.placing || !t.listed || !t.deciding() || flavors == nil || now.Before(t.fleet.cloudDown) {
+		return
+	}
+	// What an earlier leader rented last is not listed yet.
+	lag := t.set.Cloud.ListLagS.Duration()
+	v := t.l.Tuning.Get()
+	s := &fleet.Snapshot{KeepIdleS: v.KeepIdleS, MaxRents: 16}
+	var order []*machine
+	for _, m := range t.machines {
+		if m.releasing || m.drain != "" || m.kit == "" {
+			continue
+		}
+		order = append(order, m)
+	}
+	slices.SortFunc(order, func(a, b *machine) int { return cmp.Compare(a.id, b.id) })
+	for _, m := range order {
+		f := t.flavor(m.kit)
+		if f == nil {
+			continue
+		}
+		fm := fleet.Machine{ID: m.id, Kit: m.kit, Zone: m.zone, Spot: m.spot, Total: t.total(m), Free: t.free(m), Booting: m.booting,
+			PaidS: 60 - now.Sub(m.rentedAt).Seconds(), Price: f.Price(m.spot)}
+		if m.booting && now.Sub(m.rentedAt) > f.ReadyS.Duration()*2 {
+			continue // not to be counted on
+		}
+		if !m.booting && t.silence(m, now) > 3*report(t) {
+			continue
+		}
+		for _, a := range m.tasks {
+			if a.job.spec.Service() {
+				fm.Services++
+			}
+		}
+		if !m.booting && len(m.tasks) == 0 && len(m.strays) == 0 {
+			fm.Idle, fm.IdleS = true, now.Sub(later(m.usedAt, m.upAt)).Seconds()
+		}
+		s.Machines = append(s.Machines, fm)
+	}
+	for _, b := range t.fleet.bookings {
+		if f := t.flavor(b.Kit); f != nil {
+			total := placement.Res{CPUs: f.CPUs, Cards: f.Cards, RAM: f.RAM}
+			for range b.Count {
+				s.Machines = append(s.Machines, fleet.Machine{Kit: b.Kit, Zone: b.Site, Spot: b.Standby, Total: total, Free: total, Booting: true, Price: f.Price(b.Standby)})
+			}
+		}
+	}
+	if now.Sub(t.born) > lag+time.Second {
+		s.Offers = t.offers(flavors, now)
+	}
+	s.Demands = t.demands(now, v.StretchShare, v.SpareUnits)
+	plan := fleet.Make(s)
+	for _, r := range plan.Rents {
+		t.rent(r)
+	}
+	for _, id := range plan.Releases {
+		if m := t.machines[id]; m != nil && len(m.tasks) == 0 {
+			t.release(m, "idle")
+		}
+	}
+}
+
+func (t *term) offers(flavors []wire.Flavor, now time.Time) []fleet.Offer {
+	var out []fleet.Offer
+	for _, f := range flavors {
+		for _, z := range f.Sites {
+			for _, spot := range []bool{false, true} {
+				if b := t.fleet.offers[offerID{f.Name, z, spot}]; b != nil && now.Before(b.until) {
+					continue
+				}
+				if t.booked(offerID{f.Name, z, spot}) {
+					continue // one unresolved booking for each
+				}
+				out = append(out, fleet.Offer{Kit: f.Name, Zone: z, Spot: spot, Total: placement.Res{CPUs: f.CPUs, Cards: f.Cards, RAM: f.RAM},
+					Price: f.Price(spot), BootS: float64(f.ReadyS), PullRate: f.PullGBPerS, Room: 8})
+			}
+		}
+	}
+	return out
+}
+
+func (t *term) booked(o offerID) bool {
+	for _, b := range t.fleet.bookings {
+		if (offerID{b.Kit, b.Site, b.Standby}) == o {
+			return true
+		}
+	}
+	return false
+}
+
+// demands of the jobs that wait. An array need not run all at once: its work
+// may be stretched over a share of what its deadline leaves.
+func (t *term) demands(now time.Time, stretch, spareUnits float64) []fleet.Demand {
+	jobs := make([]*job, 0, len(t.jobs))
+	for _, j := range t.jobs {
+		if !j.cancelled && !j.over && j.pending() > 0 && j.fails < 3 {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spec.ID, b.spec.ID)) })
+	var out []fleet.Demand
+	used := map[wire.TeamID]placement.Res{}
+	for _, j := range t.jobs {
+		used[j.spec.Owner] = used[j.spec.Owner].Plus(placement.Of(&j.spec).Times(float64(j.held)))
+	}
+	for _, j := range jobs {
+		team, ok := t.set.Team(j.spec.Owner)
+		if !ok {
+			continue
+		}
+		units := j.pending()
+		if !j.spec.Service() {
+			units = t.parallel(j, now, stretch)
+		}
+		take := placement.Of(&j.spec)
+		// The limit bounds what can run at all.
+		left := placement.Res{CPUs: 1e9, Cards: 1e9, RAM: 1e9}
+		if team.CPUsMax > 0 {
+			left.CPUs = team.CPUsMax - used[j.spec.Owner].CPUs
+		}
+		if team.GPUsMax > 0 {
+			left.Cards = team.GPUsMax - used[j.spec.Owner].Cards
+		}
+		units = min(units, take.Units(left))
+		if units <= 0 {
+			continue
+		}
+		used[j.spec.Owner] = used[j.spec.Owner].Plus(take.Times(float64(units)))
+		d := fleet.Demand{Spec: &j.spec, Units: units, Rank: float64(j.spec.Urgency.Rank())}
+		if j.spec.Service() {
+			d.Rank += 10
+		}
+		if j.spec.Apart || j.spec.SamePlace {
+			d.ZoneLeft = map[wire.Zone]int{}
+			held := map[wire.Zone]int{}
+			for _, a := range j.attempts() {
+				held[a.m.zone]++
+			}
+			for _, z := range t.set.Zones {
+				d.ZoneLeft[z] = max(0, j.spec.ZoneCap()-held[z])
+				if j.spec.SamePlace && j.held > 0 && held[z] == 0 {
+					d.ZoneLeft[z] = 0
+				}
+			}
+		}
+		out = append(out, d)
+	}
+	if n, r := t.spare(spareUnits); n > 0 {
+		spec := &wire.Spec{Shape: wire.Daemon, Urgency: wire.Prod, Parts: n, CPUs: r.CPUs, RAM: r.RAM}
+		out = append(out, fleet.Demand{Spec: spec, Units: n, Spare: true, Rank: 9})
+	}
+	return out
+}
+
+// parallel is how many of a job's waiting tasks should run at a time.
+func (t *term) parallel(j *job, now time.Time, stretch float64) int {
+	n := j.pending()
+	est := max(1, j.expected())
+	window := 1.5 * est
+	if j.spec.Due > 0 {
+		window = (j.spec.Due.Duration() - now.Sub(j.at)).Seconds() * stretch
+	}
+	rounds := max(1, int(window/est))
+	return (n + rounds - 1) / rounds
+}
+
+// rent books machines and keeps asking under the same name until the cloud
+// has answered.
+func (t *term) rent(r fleet.Rent) {
+	t.fleet.seq++
+	b := &booking{Booking: wire.Booking{Name: fmt.Sprintf("b-%d-%d", t.first, t.fleet.seq), Kit: r.Kit, Site: r.Zone, Standby: r.Spot, Count: min(r.Count, 50)}, since: time.Now()}
+	t.fleet.bookings[b.Name] = b
+	t.log().Info("rents", "kit", b.Kit, "zone", b.Site, "spot", b.Standby, "count", b.Count, "for", r.For, "booking", b.Name)
+	go func() {
+		wait := 400 * time.Millisecond
+		unsure := false
+		for t.ctx.Err() == nil {
+			hosts, err := t.l.Cloud.Rent(t.ctx, b.Booking)
+			// After a lost answer only a repeat under the same name tells
+			// what was rented; a refusal of the repeat tells nothing.
+			unsure = unsure || err != nil && !errors.Is(err, cloud.ErrBusy) && !errors.Is(err, cloud.ErrNoCapacity) && !errors.Is(err, cloud.ErrInvalid)
+			if err == nil || !unsure || errors.Is(err, cloud.ErrNoCapacity) || errors.Is(err, cloud.ErrInvalid) {
+				t.post(func() { t.rented(b, hosts, err) })
+				return
+			}
+			select {
+			case <-t.ctx.Done():
+			case <-time.After(wait + rand.N(wait/2)):
+			}
+			wait = min(2*wait, 5*time.Second)
+		}
+	}()
+}
+
+func (t *term) rented(b *booking, hosts []wire.MachineID, err error) {
+	now := time.Now()
+	delete(t.fleet.bookings, b.Name)
+	id := offerID{b.Kit, b.Site, b.Standby}
+	o := t.fleet.offers[id]
+	if o == nil {
+		o = &backoff{}
+		t.fleet.offers[id] = o
+	}
+	switch {
+	case err == nil:
+		t.l.Metrics.Fleet("rented", len(hosts))
+		t.fleet.downWait = 0
+		for _, h := range hosts {
+			if _, gone := t.gone[h]; gone {
+				continue
+			}
+			m := t.machine(h)
+			if m.upAt.IsZero() {
+				m.kit, m.zone, m.spot, m.booting, m.rentedAt = b.Kit, b.Site, b.Standby, true, b.since
+			}
+		}
+		if len(hosts) < b.Count {
+			o.wait = 8 * time.Second
+			o.until = now.Add(o.wait)
+			t.log().Info("booking only partly filled", "booking", b.Name, "got", len(hosts), "of", b.Count)
+		} else {
+			o.wait = 0
+		}
+	case errors.Is(err, cloud.ErrNoCapacity), errors.Is(err, cloud.ErrInvalid):
+		o.wait = min(max(5*time.Second, o.wait*2), 40*time.Second)
+		o.until = now.Add(o.wait + rand.N(o.wait/4))
+		t.log().Info("no capacity", "kit", b.Kit, "zone", b.Site, "spot", b.Standby, "again_in", o.wait, "err", err)
+	default:
+		// Busy or down: certainly not rented; the want is judged anew later.
+		t.fleet.downWait = min(max(500*time.Millisecond, t.fleet.downWait*2), 5*time.Second)
+		t.fleet.cloudDown = now.Add(t.fleet.downWait + rand.N(t.fleet.downWait))
+		t.log().Info("cloud busy or down", "again_in", t.fleet.downWait, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/leader/reports.go
@@ -0,0 +1,475 @@
+package leader
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"lilaclead/internal/placement"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// machine is what the term knows of one machine.
+type machine struct {
+	id    wire.MachineID
+	addr  string
+	kit   wire.Kit
+	zone  wire.Zone
+	spot  bool
+	shift wire.Session
+	tally wire.Tally
+	baton wire.Token
+
+	booting  bool // never reported, as far as we know
+	rentedAt time.Time
+	seenAt   time.Time // last message from it
+	answered time.Time // last answer to a report of it
+	usedAt   time.Time // last time that a task was on it
+	upAt     time.Time // first report in this term
+	listed   time.Time // last seen in a machine list
+	failed   bool      // the list says that it has stopped by itself
+
+	tasks  map[wire.Task]*attempt
+	strays map[wire.Task]bool // on it, but not ours to want there
+	notice time.Time          // the cloud takes it then; zero: no notice
+	images imageCache
+
+	lost      lostCommand // the last launches that were never answered
+	busy      bool        // a direct command is under way
+	probes    int         // direct tries without an answer since seenAt
+	probing   bool
+	drain     string // why it takes nothing new; empty: it does
+	releasing bool
+	fullUntil time.Time
+	errs      map[wire.JobID]bool // jobs that failed here in a row
+	errCount  int
+	slow      slowStats
+}
+
+func (t *term) machine(id wire.MachineID) *machine {
+	m := t.machines[id]
+	if m == nil {
+		now := time.Now()
+		m = &machine{id: id, tasks: map[wire.Task]*attempt{}, strays: map[wire.Task]bool{}, usedAt: now, rentedAt: now, errs: map[wire.JobID]bool{}}
+		t.machines[id] = m
+	}
+	return m
+}
+
+// onHello answers a report.
+func (t *term) onHello(h hello) {
+	now := time.Now()
+	if !t.answering() {
+		return // the handler's time runs out, or the term's end answers
+	}
+	o := wire.Orders{Baton: t.token, Orders: []wire.Order{}}
+	if _, gone := t.gone[h.rep.Host]; gone {
+		// Released, and the cloud said so: only a late report can come.
+		h.reply <- o
+		return
+	}
+	if !t.recovered {
+		t.early[h.rep.Host] = h.rep
+		m := t.machine(h.rep.Host)
+		m.seenAt, m.answered = now, now
+		h.reply <- o
+		return
+	}
+	m := t.machine(h.rep.Host)
+	fresh := t.apply(m, &h.rep, true, now)
+	m.answered = now
+	if fresh && t.deciding() {
+		o.Orders = t.orders(m, &h.rep, now)
+	}
+	h.reply <- o
+}
+
+// apply takes in a report, however it came. It tells whether it was newer
+// than what was known.
+func (t *term) apply(m *machine, rep *wire.Report, viaHello bool, now time.Time) bool {
+	if !rep.Newer(m.shift, m.tally) {
+		return false
+	}
+	if m.upAt.IsZero() {
+		m.upAt = now
+		t.fleetUp(m, now)
+		t.wantRound()
+	}
+	if rep.Shift > m.shift {
+		m.images = imageCache{} // a new session may be a new life
+	}
+	m.addr, m.kit, m.zone, m.spot = rep.Addr, rep.Kit, rep.Site, rep.Standby
+	m.shift, m.tally, m.seenAt, m.booting, m.probes = rep.Shift, rep.Tally, now, false, 0
+	m.baton = max(m.baton, rep.Baton)
+	if rep.WarningS != nil {
+		at := now.Add(rep.WarningS.Duration())
+		if m.notice.IsZero() {
+			t.log().Info("spot notice", "machine", m.id, "in", rep.WarningS.Duration(), "tasks", len(m.tasks))
+			t.drainMachine(m, "spot notice")
+		}
+		m.notice = at
+	}
+	clear(m.strays)
+	listed := make(map[wire.Task]*wire.PartState, len(rep.Parts))
+	for i := range rep.Parts {
+		p := &rep.Parts[i]
+		task, err := wire.ParseTask(p.Part)
+		if err != nil {
+			continue
+		}
+		if a := m.tasks[task]; a != nil && a.try == p.Try {
+			listed[task] = p
+			t.progress(a, p, now)
+		} else if p.Phase != wire.Exited {
+			m.strays[task] = true
+		}
+	}
+	for task, a := range m.tasks {
+		if listed[task] != nil || a.planned || t.canStart(a, rep, viaHello) {
+			continue
+		}
+		switch {
+		case a.seen, a.inherited, rep.Shift > a.sentShift && a.sent:
+			t.log().Info("task is gone from its machine", "task", task, "try", a.try, "machine", m.id, "shift", rep.Shift)
+			t.l.Metrics.Moved("gone")
+			t.drop(a, taskPending)
+		case a.halting, m.drain != "", a.job.cancelled:
+			t.drop(a, taskPending)
+		default:
+			// Stored, not delivered: it is sent (again).
+			a.lost, a.helloTally = false, 0
+		}
+	}
+	return true
+}
+
+// progress takes in the state of an attempt of ours.
+func (t *term) progress(a *attempt, p *wire.PartState, now time.Time) {
+	m, j := a.m, a.job
+	a.seen = true
+	if p.Phase != wire.Pulling && p.Cause != wire.CauseFull && p.Cause != wire.CauseBusy && p.Cause != wire.CauseNoSuch &&
+		!(p.Phase == wire.Exited && a.phase == wire.Pulling && p.Cause == wire.CauseStopped) {
+		m.images.touch(j.spec.Bundle, j.spec.ImageGB, t.localGB(m.kit), now)
+		if a.ready.IsZero() {
+			a.ready = now
+		}
+	}
+	if p.Phase == wire.Active && a.runAt.IsZero() {
+		a.runAt = now
+		if !j.started {
+			j.started = true
+			t.l.Metrics.Waited(j.spec.Lane, now.Sub(j.at).Seconds())
+		}
+	}
+	a.phase = p.Phase
+	if p.Phase != wire.Exited {
+		return
+	}
+	switch p.Cause {
+	case wire.CauseDone:
+		if !a.runAt.IsZero() {
+			t.timed(a, now)
+		}
+		j.succeeded, j.fails = true, 0
+		clear(j.failedOn)
+		clear(m.errs)
+		m.errCount = 0
+		t.drop(a, taskDone)
+	case wire.CauseStopped:
+		t.drop(a, taskPending)
+	case wire.CauseError:
+		t.failed(a, now)
+		t.drop(a, taskPending)
+	default:
+		t.log().Info("start refused", "task", a.task(), "try", a.try, "machine", m.id, "cause", p.Cause)
+		m.fullUntil = now.Add(2 * time.Second)
+		if p.Cause == wire.CauseNoSuch {
+			j.notBefore = now.Add(2 * time.Second)
+		}
+		t.drop(a, taskPending)
+	}
+}
+
+// orders for the answer to a report: whatever has not been shown to have
+// arrived is repeated.
+func (t *term) orders(m *machine, rep *wire.Report, now time.Time) []wire.Order {
+	out := []wire.Order{}
+	const most = 400
+	for task, a := range m.tasks {
+		if len(out) >= most {
+			return out
+		}
+		if a.halting && !a.planned {
+			out = append(out, haltOrder(task, a))
+			a.haltSent = now
+		} else if !a.planned && !a.seen && !a.directBusy && m.drain == "" && !a.job.cancelled && !a.inherited {
+			out = append(out, wire.Order{Verb: wire.Launch, Part: task.String(), Try: a.try})
+			a.sent, a.sentShift, a.helloShift, a.helloTally = true, rep.Shift, rep.Shift, rep.Tally
+		}
+	}
+	for i := range rep.Parts {
+		p := &rep.Parts[i]
+		if len(out) >= most {
+			return out
+		}
+		task, err := wire.ParseTask(p.Part)
+		if err != nil {
+			continue
+		}
+		if a := m.tasks[task]; a != nil && a.try == p.Try {
+			continue
+		}
+		switch {
+		case p.Phase != wire.Exited:
+			zero := wire.Seconds(0)
+			out = append(out, wire.Order{Verb: wire.Halt, Part: p.Part, Try: p.Try, WindDown: &zero})
+		case t.mayForget(m, task, rep):
+			out = append(out, wire.Order{Verb: wire.Forget, Part: p.Part, Try: p.Try})
+		}
+	}
+	return out
+}
+
+// mayForget: the outcome is stored, and no launch that could start the
+// attempt again is under way to the worker. A forgotten attempt that is
+// launched late would run once more.
+func (t *term) mayForget(m *machine, task wire.Task, rep *wire.Report) bool {
+	if m.busy || rep.Baton < t.first || m.lostAt(rep) {
+		return false
+	}
+	j := t.jobs[task.Job]
+	if j == nil {
+		return true
+	}
+	if j.over || j.archiving {
+		return false
+	}
+	n := task.Index / store.ChunkSize
+	if n >= len(j.chunks) {
+		return true
+	}
+	c := j.chunks[n]
+	return c == nil || !c.dirty && !c.busy
+}
+
+func haltOrder(task wire.Task, a *attempt) wire.Order {
+	w := a.windDown
+	return wire.Order{Verb: wire.Halt, Part: task.String(), Try: a.try, WindDown: &w}
+}
+
+// dispatch sends what is new for a machine straight to it.
+func (t *term) dispatch(m *machine) {
+	if m.busy || m.addr == "" || m.upAt.IsZero() || m.releasing || !t.deciding() {
+		return
+	}
+	now := time.Now()
+	cmd := wire.Orders{Baton: t.token, Shift: m.shift}
+	var launched []*attempt
+	for task, a := range m.tasks {
+		switch {
+		case a.planned || len(cmd.Orders) >= 400:
+		case a.halting:
+			if now.Sub(a.haltSent) > 1500*time.Millisecond {
+				cmd.Orders = append(cmd.Orders, haltOrder(task, a))
+				a.haltSent = now
+			}
+		case !a.sent && !a.inherited && !a.seen && m.drain == "" && !a.job.cancelled:
+			cmd.Orders = append(cmd.Orders, wire.Order{Verb: wire.Launch, Part: task.String(), Try: a.try})
+			a.sent, a.sentShift, a.directBusy = true, m.shift, true
+			launched = append(launched, a)
+		}
+	}
+	if len(cmd.Orders) > 0 {
+		t.command(m, cmd, launched)
+	}
+}
+
+// command sends a direct command and takes in its answer.
+func (t *term) command(m *machine, cmd wire.Orders, launched []*attempt) {
+	m.busy = true
+	addr := m.addr
+	go func() {
+		rep, status, err := t.l.post(t.ctx, addr, cmd)
+		t.post(func() { t.commanded(m, cmd, launched, rep, status, err) })
+	}()
+}
+
+func (t *term) commanded(m *machine, cmd wire.Orders, launched []*attempt, rep *wire.Report, status int, err error) {
+	m.busy = false
+	now := time.Now()
+	for _, a := range launched {
+		a.directBusy = false
+	}
+	switch {
+	case err == nil && (status == http.StatusOK || status == http.StatusConflict) && rep.Host == m.id:
+		t.l.Metrics.Command("ok")
+		t.apply(m, rep, false, now)
+	case err != nil && wire.NotSent(err):
+		t.l.Metrics.Command("not sent")
+		m.probes++
+		for _, a := range launched {
+			if !a.seen {
+				a.sent = false // certainly never left; the next report's answer carries it
+			}
+		}
+	default:
+		t.l.Metrics.Command("lost")
+		m.probes++
+		t.log().Debug("command not answered", "machine", m.id, "orders", len(cmd.Orders), "err", err, "status", status)
+		for _, a := range launched {
+			a.lost, a.lostToken = true, cmd.Baton
+		}
+		if len(launched) > 0 {
+			m.lost = lostCommand{max(m.lost.token, cmd.Baton), max(m.lost.shift, cmd.Shift)}
+		}
+	}
+	if m.probes == 0 {
+		t.dispatch(m)
+	}
+}
+
+// post sends a command to a worker.
+func (l *Leader) post(ctx context.Context, addr string, cmd wire.Orders) (*wire.Report, int, error) {
+	if cmd.Orders == nil {
+		cmd.Orders = []wire.Order{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2500*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+addr+"/commands", bytes.NewReader(wire.Encode(cmd)))
+	if err != nil {
+		return nil, 0, err
+	}
+	req.Header.Set("Content-Type", wire.ContentType)
+	req.GetBody = nil
+	resp, err := l.direct.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	raw, err := wire.ReadBody(resp.Body, 1<<20)
+	if err != nil {
+		return nil, 0, err
+	}
+	var rep wire.Report
+	if err := wire.Decode(raw, &rep); err != nil {
+		return nil, 0, err
+	}
+	return &rep, resp.StatusCode, nil
+}
+
+// probe asks a worker for its report and shows it our token.
+func (t *term) probe(m *machine) {
+	if m.busy || m.addr == "" {
+		return
+	}
+	shift := max(m.shift, 1)
+	m.busy = true
+	addr, cmd := m.addr, wire.Orders{Baton: t.token, Shift: shift}
+	go func() {
+		rep, status, err := t.l.post(t.ctx, addr, cmd)
+		if err == nil && status == http.StatusConflict && rep.Shift != cmd.Shift && rep.Baton <= cmd.Baton {
+			// Wrong session: now we know the right one.
+			cmd.Shift = rep.Shift
+			rep, status, err = t.l.post(t.ctx, addr, cmd)
+		}
+		t.post(func() { t.commanded(m, cmd, nil, rep, status, err) })
+	}()
+}
+
+// probeAll shows our token to every machine whose address is known, so that
+// a new leader's report round takes a moment and not a report's interval.
+func (t *term) probeAll() {
+	for _, m := range t.machines {
+		if !m.booting && m.baton < t.first {
+			t.probe(m)
+		}
+	}
+}
+
+type lostCommand struct {
+	token wire.Token
+	shift wire.Session
+}
+
+// lostAt tells whether an unanswered launch may still reach the worker.
+func (m *machine) lostAt(rep *wire.Report) bool {
+	l := m.lost
+	return l.token > 0 && rep.Baton <= l.token && rep.Shift <= l.shift
+}
+
+// imageCache is what the reports imply of a machine's images: an image is
+// there once a task of it got past its fetch, until later ones push it out.
+type imageCache struct {
+	has map[wire.ImageID]image
+}
+
+type image struct {
+	gb float64
+	at time.Time
+}
+
+func (c *imageCache) touch(id wire.ImageID, gb, room float64, now time.Time) {
+	if c.has == nil {
+		c.has = map[wire.ImageID]image{}
+	}
+	c.has[id] = image{gb, now}
+	for room > 0 {
+		sum, oldest := 0.0, id
+		for k, i := range c.has {
+			sum += i.gb
+			if i.at.Before(c.has[oldest].at) {
+				oldest = k
+			}
+		}
+		if sum <= room || oldest == id {
+			return
+		}
+		delete(c.has, oldest)
+	}
+}
+
+// localGB is the size of a type's image cache.
+func (t *term) localGB(k wire.Kit) float64 {
+	if f := t.flavor(k); f != nil {
+		return f.LocalGB
+	}
+	return 0
+}
+
+func (t *term) flavor(k wire.Kit) *wire.Flavor {
+	fs := t.l.Flavors.Get()
+	for i := range fs {
+		if fs[i].Name == k {
+			return &fs[i]
+		}
+	}
+	return nil
+}
+
+// total and free room of a machine. What the cloud's list of types does not
+// name can hold nothing.
+func (t *term) total(m *machine) placement.Res {
+	if f := t.flavor(m.kit); f != nil {
+		return placement.Res{CPUs: f.CPUs, Cards: f.Cards, RAM: f.RAM}
+	}
+	return placement.Res{}
+}
+
+func (t *term) free(m *machine) placement.Res {
+	free := t.total(m)
+	for _, a := range m.tasks {
+		free = free.Minus(a.res())
+	}
+	for task := range m.strays {
+		j := t.jobs[task.Job]
+		if j == nil {
+			return placement.Res{} // of unknown size
+		}
+		if m.tasks[task] == nil {
+			free = free.Minus(placement.Of(&j.spec))
+		}
+	}
+	return free
+}
--- /dev/null
+++ b/internal/leader/round.go
@@ -0,0 +1,235 @@
+package leader
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lilaclead/internal/placement"
+	"lilaclead/internal/wire"
+)
+
+// round places what waits.
+func (t *term) round(now time.Time) {
+	t.lastRound, t.roundWant = now, false
+	waiting := false
+	for _, j := range t.jobs {
+		if t.canPlace(j, now) {
+			waiting = true
+			break
+		}
+	}
+	if !waiting {
+		return
+	}
+	s, ms, js := t.snapshot(now)
+	res := placement.Place(s)
+	for _, st := range res.Starts {
+		t.start(js[st.Job], ms[st.Machine], now)
+	}
+	for _, v := range res.Halts {
+		if j := t.jobs[v.Task.Job]; j != nil {
+			for _, m := range ms {
+				if a := m.tasks[v.Task]; a != nil {
+					t.halt(a, windDownOf(j), "makes room")
+				}
+			}
+		}
+	}
+	t.l.Metrics.Round(time.Since(now), len(res.Starts), len(res.Halts))
+}
+
+// windDownOf is how long a task of the job is given to save.
+func windDownOf(j *job) wire.Seconds {
+	if j.spec.SnapshotEveryS > 0 {
+		return j.spec.SnapshotS + 2
+	}
+	return 0
+}
+
+func (t *term) canPlace(j *job, now time.Time) bool {
+	return !j.cancelled && !j.over && !j.archiving && !j.stale && j.pending() > 0 && !now.Before(j.notBefore)
+}
+
+// start decides on one task of the job.
+func (t *term) start(j *job, m *machine, now time.Time) {
+	j.eachPending(1, func(c *chunk, i int) {
+		a := &attempt{job: j, chunk: c, index: i, try: c.next, m: m, at: now, planned: true}
+		c.next++
+		c.dirty = true
+		c.hold(a)
+	})
+}
+
+// guaranteed finds the jobs that fit into their team's guarantee together
+// with the team's earlier unfinished jobs.
+func (t *term) guaranteed() map[wire.JobID]bool {
+	jobs := make([]*job, 0, len(t.jobs))
+	for _, j := range t.jobs {
+		if !j.cancelled && !j.over {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spec.ID, b.spec.ID)) })
+	sum := map[wire.TeamID]placement.Res{}
+	out := map[wire.JobID]bool{}
+	for _, j := range jobs {
+		team, ok := t.set.Team(j.spec.Owner)
+		if !ok {
+			continue
+		}
+		u := sum[j.spec.Owner].Plus(placement.Of(&j.spec).Times(float64(j.spec.Parts - j.done)))
+		sum[j.spec.Owner] = u
+		out[j.spec.ID] = u.CPUs <= team.CPUs+wire.Eps && u.Cards <= team.GPUs+wire.Eps
+	}
+	return out
+}
+
+// weight of one unit of a job: priority first, then guarantee and deadline.
+func (t *term) weight(j *job, guaranteed bool, now time.Time) float64 {
+	w := [4]float64{1, 4, 16, 256}[j.spec.Urgency.Rank()]
+	if guaranteed {
+		w *= 3
+	}
+	if j.spec.Due > 0 {
+		left := j.spec.Due.Duration().Seconds() - now.Sub(j.at).Seconds()
+		need := j.expected()
+		switch slack := left - need; {
+		case slack < -need/2:
+			w *= 0.5 // late whatever we do
+		case slack < need/2:
+			w *= 2
+		}
+	}
+	return w
+}
+
+// expected run time of a task: what was seen, else what the owner says.
+func (j *job) expected() float64 {
+	if n := len(j.runs.s); n > 0 {
+		return j.runs.median()
+	}
+	return float64(j.spec.Expected)
+}
+
+// snapshot is what a round looks at, with the machines and jobs that its
+// indexes stand for.
+func (t *term) snapshot(now time.Time) (*placement.Snapshot, []*machine, []*job) {
+	v := t.l.Tuning.Get()
+	s := &placement.Snapshot{
+		Teams:   map[wire.TeamID]*placement.Team{},
+		Factors: placement.Factors{Preferred: v.Preferred, Fallback: v.Fallback, WaitRaiseS: v.WaitRaiseS},
+		Preempt: true,
+	}
+	for _, team := range t.set.Teams {
+		s.Teams[team.Name] = &placement.Team{Limit: placement.Res{CPUs: team.CPUsMax, Cards: team.GPUsMax}}
+	}
+	for _, j := range t.jobs {
+		if team := s.Teams[j.spec.Owner]; team != nil {
+			team.Used = team.Used.Plus(placement.Of(&j.spec).Times(float64(j.held)))
+		}
+	}
+	for _, m := range t.machines {
+		for task := range m.strays {
+			if j := t.jobs[task.Job]; j != nil && m.tasks[task] == nil {
+				if team := s.Teams[j.spec.Owner]; team != nil {
+					team.Used = team.Used.Plus(placement.Of(&j.spec))
+				}
+			}
+		}
+	}
+	var ms []*machine
+	for _, m := range t.machines {
+		if t.usable(m, now) {
+			ms = append(ms, m)
+		}
+	}
+	slices.SortFunc(ms, func(a, b *machine) int { return cmp.Compare(a.id, b.id) })
+	beyond := func(j *job) bool {
+		team, _ := t.set.Team(j.spec.Owner)
+		u := s.Teams[j.spec.Owner]
+		return u != nil && (u.Used.CPUs > team.CPUs+wire.Eps || u.Used.Cards > team.GPUs+wire.Eps)
+	}
+	for _, m := range ms {
+		pm := placement.Machine{ID: m.id, Kit: m.kit, Zone: m.zone, Spot: m.spot, Total: t.total(m), Free: t.free(m),
+			Images: make(map[wire.ImageID]placement.Image, len(m.images.has)+len(m.tasks))}
+		if f := t.flavor(m.kit); f != nil {
+			pm.PullRate = f.PullGBPerS
+		}
+		for _, a := range m.tasks {
+			if a.job.spec.Service() {
+				pm.Services++
+			}
+			if a.ready.IsZero() {
+				pm.Images[a.job.spec.Bundle] = placement.Fetching
+			}
+			if a.planned || a.job.spec.Service() && a.job.spec.Urgency == wire.Prod {
+				continue
+			}
+			lost := 0.0
+			if !a.runAt.IsZero() {
+				lost = now.Sub(a.runAt).Seconds()
+				if every := float64(a.job.spec.SnapshotEveryS); every > 0 {
+					lost = min(lost, float64(a.job.spec.SnapshotS))
+				}
+			}
+			pm.Victims = append(pm.Victims, placement.Victim{Task: a.task(), Rank: a.job.spec.Urgency.Rank(), Takes: a.res(),
+				Lost: lost, Beyond: beyond(a.job), Team: a.job.spec.Owner, Stopped: a.halting})
+		}
+		slices.SortFunc(pm.Victims, func(a, b placement.Victim) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
+		for id := range m.images.has {
+			pm.Images[id] = placement.Present
+		}
+		s.Machines = append(s.Machines, pm)
+	}
+	var js []*job
+	for _, j := range t.jobs {
+		if t.canPlace(j, now) {
+			js = append(js, j)
+		}
+	}
+	slices.SortFunc(js, func(a, b *job) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spec.ID, b.spec.ID)) })
+	sure := t.guaranteed()
+	kept := js[:0]
+	for _, j := range js {
+		pj := placement.Job{Spec: &j.spec, Pending: j.pending(), Held: j.held, ZoneHeld: map[wire.Zone]int{},
+			WaitedS: now.Sub(j.at).Seconds(), Guaranteed: sure[j.spec.ID], Weight: t.weight(j, sure[j.spec.ID], now)}
+		if j.fails > 0 {
+			pj.Pending = min(pj.Pending, max(1, 2-j.held)) // try a suspect job with little
+		}
+		known := true
+		for _, a := range j.attempts() {
+			known = known && a.m.zone != ""
+			pj.ZoneHeld[a.m.zone]++
+		}
+		if !known && (j.spec.Apart || j.spec.SamePlace) {
+			continue // where its tasks are is not known yet
+		}
+		s.Jobs = append(s.Jobs, pj)
+		kept = append(kept, j)
+	}
+	s.Spare, s.SpareTakes = t.spare(v.SpareUnits)
+	return s, ms, kept
+}
+
+// usable tells whether a machine may take a launch now.
+func (t *term) usable(m *machine, now time.Time) bool {
+	return !m.booting && !m.upAt.IsZero() && m.drain == "" && !m.releasing && m.baton >= t.first && m.probes == 0 &&
+		!now.Before(m.fullUntil) && now.Sub(m.seenAt) < 2*t.set.Workers.ReportS.Duration()+time.Second
+}
+
+// spare is the room to keep for the next replicas: the largest replica that
+// services now have.
+func (t *term) spare(units float64) (int, placement.Res) {
+	var r placement.Res
+	for _, j := range t.jobs {
+		if j.spec.Service() && !j.spec.Standby {
+			o := placement.Of(&j.spec)
+			r = placement.Res{CPUs: max(r.CPUs, o.CPUs), Cards: 0, RAM: max(r.RAM, o.RAM)}
+		}
+	}
+	if r.CPUs == 0 {
+		return 0, r
+	}
+	return int(units), r
+}
--- /dev/null
+++ b/internal/leader/term.go
@@ -0,0 +1,554 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/placement"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// hello is a report with the channel for its answer.
+type hello struct {
+	rep   wire.Report
+	reply chan wire.Orders
+}
+
+// term is one time in office. Its loop owns everything below the line; the
+// helpers that do I/O hand their results back through the inbox.
+type term struct {
+	l       *Leader
+	permit  wire.GrantID
+	born    time.Time
+	until   atomic.Int64 // since born
+	blindOK atomic.Bool
+	hellos  chan hello
+	inbox   chan func()
+	over    chan struct{}
+	endOnce sync.Once
+	why     string
+
+	// ---- owned by the loop ----
+	ctx       context.Context
+	set       *config.Settings
+	token     wire.Token // also the revision of the leader's key
+	first     wire.Token // the token at the start of the term
+	raising   bool
+	recovered bool
+	placing   bool // the first report round is over
+	listed    bool // a machine list has come in
+	early     map[wire.MachineID]wire.Report
+	jobs      map[wire.JobID]*job
+	machines  map[wire.MachineID]*machine
+	gone      map[wire.MachineID]time.Time // released, answered 200
+	blindAt   time.Time
+	acked     time.Time // when a majority first held our token
+
+	writing    bool
+	retryAt    time.Time
+	bookAt     time.Time // when bookkeeping may be written again
+	raiseAt    time.Time
+	wantRaise  bool
+	roundWant  bool
+	lastRound  time.Time
+	roundAfter time.Time
+
+	fleet fleetState
+}
+
+func newTerm(l *Leader, o office) *term {
+	t := &term{
+		l: l, permit: o.permit, born: o.at, token: o.token, first: o.token,
+		set:    &l.Config.Settings,
+		hellos: make(chan hello, 32), inbox: make(chan func(), 32), over: make(chan struct{}),
+		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{},
+		machines: map[wire.MachineID]*machine{}, gone: map[wire.MachineID]time.Time{},
+	}
+	t.until.Store(int64(o.until.Sub(o.at)))
+	t.fleet.init()
+	return t
+}
+
+// end ends the term; safe from any goroutine.
+func (t *term) end(why string) {
+	t.endOnce.Do(func() {
+		t.why = why
+		close(t.over)
+	})
+}
+
+// post hands a result to the loop.
+func (t *term) post(f func()) {
+	select {
+	case t.inbox <- f:
+	case <-t.over:
+	}
+}
+
+func (t *term) log() *slog.Logger { return t.l.Log }
+
+// run serves the term until it is over and says why.
+func (t *term) run(parent context.Context) string {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	t.ctx = ctx
+	go t.renew(ctx)
+	go t.recover(ctx)
+	go t.listHosts(ctx)
+	go t.watchFlavors(ctx)
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	slow := 0
+	for {
+		select {
+		case <-t.over:
+			return t.why
+		case <-parent.Done():
+			t.end("stopped")
+			return t.why
+		case h := <-t.hellos:
+			t.onHello(h)
+		case f := <-t.inbox:
+			f()
+		case now := <-tick.C:
+			t.watchOffice(now)
+			if slow++; slow%5 == 0 {
+				t.watchMachines(now)
+			}
+			if slow%10 == 0 {
+				t.planFleet(now)
+			}
+		}
+		t.settle(time.Now())
+	}
+}
+
+// settle does what has become due after an event: a round, a write.
+func (t *term) settle(now time.Time) {
+	if !t.recovered || !t.deciding() {
+		return
+	}
+	v := t.l.Tuning.Get()
+	if t.placing && (t.roundWant && now.After(t.roundAfter) || now.Sub(t.lastRound) >= wire.Seconds(v.RoundS).Duration()) {
+		t.round(now)
+	}
+	t.flush(now)
+}
+
+// wantRound asks for a round soon; a few events are gathered first.
+func (t *term) wantRound() {
+	if !t.roundWant {
+		t.roundWant = true
+		t.roundAfter = later(time.Now().Add(10*time.Millisecond), t.lastRound.Add(100*time.Millisecond))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// watchOffice yields to a higher token and keeps the blind service in its
+// bounds.
+func (t *term) watchOffice(now time.Time) {
+	v := t.l.Mesh.View()
+	if v.Token > t.token && !t.raising {
+		// Our own raised token comes back through the peers only after we
+		// know of it, or while raising is set.
+		t.end("a higher token is known")
+		return
+	}
+	acked := v.Acked(t.token, now) > t.set.Size/2
+	if acked && t.acked.IsZero() {
+		t.acked = now
+	}
+	if t.deciding() {
+		if !t.blindAt.IsZero() {
+			t.log().Info("state service back", "token", t.token, "away", now.Sub(t.blindAt))
+			t.blindAt = time.Time{}
+			t.blindOK.Store(false)
+			t.wantRound()
+		}
+	} else {
+		if t.blindAt.IsZero() {
+			t.blindAt = now
+			t.log().Info("state service away; keeps answering reports while a majority agrees", "token", t.token, "agrees", acked)
+		}
+		t.blindOK.Store(acked && now.Sub(t.blindAt) < peer.B-haste)
+	}
+	if !t.placing && t.recovered {
+		bound := t.set.Workers.ReportS.Duration()*5/4 + 1500*time.Millisecond
+		if t.listed && t.allHeard() || now.Sub(t.born) > bound {
+			t.placing = true
+			t.log().Info("places", "machines", len(t.machines), "jobs", len(t.jobs), "after", now.Sub(t.born))
+			t.wantRound()
+		}
+	}
+}
+
+// allHeard tells whether every machine that should be up has reported with
+// our token.
+func (t *term) allHeard() bool {
+	for _, m := range t.machines {
+		if !m.booting && m.baton < t.first {
+			return false
+		}
+	}
+	return true
+}
+
+// recover reads everything from the state service.
+func (t *term) recover(ctx context.Context) {
+	for ctx.Err() == nil {
+		jobs, rev, err := t.l.Store.List(ctx, store.Duty, store.JobPrefix)
+		if err == nil {
+			var runs []wire.Entry
+			if runs, _, err = t.l.Store.List(ctx, store.Duty, store.RunPrefix); err == nil {
+				t.post(func() { t.take(jobs, runs) })
+				t.follow(ctx, rev)
+				return
+			}
+		}
+		t.log().Info("recovery: state service refuses", "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+// follow watches the jobs.
+func (t *term) follow(ctx context.Context, rev wire.Revision) {
+	for ctx.Err() == nil {
+		ch, err := t.l.Store.Watch(ctx, store.JobPrefix, rev, 10*time.Second)
+		if errors.Is(err, store.ErrTooOld) {
+			t.end("fell behind the changes")
+			return
+		}
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(250 * time.Millisecond):
+			}
+			continue
+		}
+		if ch.Ledger > rev {
+			rev = ch.Ledger
+		}
+		if len(ch.News) > 0 {
+			t.post(func() {
+				for _, c := range ch.News {
+					if c.Put != "" {
+						t.learn(c.Value, c.Stamp)
+					}
+				}
+			})
+		}
+	}
+}
+
+// take builds the term's picture from what was read.
+func (t *term) take(jobs, runs []wire.Entry) {
+	for _, e := range jobs {
+		t.learn(e.Value, e.Stamp)
+	}
+	for _, e := range runs {
+		id, n, ok := store.ParseChunkKey(e.Key)
+		j := t.jobs[id]
+		var rec store.ChunkRecord
+		if !ok || j == nil || n >= len(j.chunks) || wire.Decode(e.Value, &rec) != nil {
+			// Left over from a job that was archived in several steps.
+			t.fleet.orphans = append(t.fleet.orphans, wire.Guard{Key: e.Key, Stamp: e.Stamp})
+			continue
+		}
+		c := j.chunk(n)
+		c.stamp, c.next = e.Stamp, rec.Next
+		done := make([]bool, len(c.state))
+		store.Unpack(rec.Done, done)
+		for i, d := range done {
+			if d {
+				c.state[i] = taskDone
+				j.done++
+			}
+		}
+		for _, h := range rec.Held {
+			if h.Task < 0 || h.Task >= len(c.state) || c.state[h.Task] != taskPending {
+				continue
+			}
+			m := t.machine(h.On)
+			a := &attempt{job: j, chunk: c, index: h.Task, try: h.Try, m: m, inherited: true, at: t.born}
+			c.hold(a)
+		}
+	}
+	t.recovered = true
+	t.log().Info("recovered", "jobs", len(t.jobs), "machines", len(t.machines), "took", time.Since(t.born))
+	for _, j := range t.jobs {
+		if j.done == j.spec.Parts || j.cancelled && j.held == 0 {
+			j.over = true
+		}
+	}
+	for _, rep := range t.early {
+		t.apply(t.machine(rep.Host), &rep, true, time.Now())
+	}
+	t.early = nil
+	t.probeAll()
+}
+
+// learn takes in a job record that is new or has changed.
+func (t *term) learn(v wire.Raw, stamp wire.Revision) {
+	var rec store.JobRecord
+	if err := wire.Decode(v, &rec); err != nil {
+		t.log().Error("undecodable job record", "stamp", stamp, "err", err)
+		return
+	}
+	j := t.jobs[rec.Spec.ID]
+	if j == nil {
+		j = newJob(rec, stamp)
+		t.jobs[rec.Spec.ID] = j
+		t.wantRound()
+	}
+	if stamp < j.stamp {
+		return
+	}
+	j.stamp, j.stale = stamp, false
+	if rec.Status == wire.Cancelled && !j.cancelled {
+		j.cancelled = true
+		j.cancelAt = time.Now()
+		t.log().Info("cancels", "job", j.spec.ID, "held", j.held)
+		for _, a := range j.attempts() {
+			t.halt(a, 0, "cancelled")
+		}
+		t.checkOver(j)
+	}
+}
+
+// checkOver notes that a job can be archived.
+func (t *term) checkOver(j *job) {
+	if j.cancelled && j.held == 0 || j.done == j.spec.Parts {
+		j.over = true
+	}
+}
+
+// ---- jobs and attempts ----
+
+const (
+	taskPending uint8 = iota
+	taskHeld
+	taskDone
+)
+
+type job struct {
+	spec      wire.Spec
+	stamp     wire.Revision
+	at        time.Time
+	cancelled bool
+	cancelAt  time.Time
+	stale     bool // its record has changed in a way not yet read
+	over      bool // to be archived
+	archiving bool
+	chunks    []*chunk
+	done      int
+	held      int
+	// Faults: machines on which a task of it failed in a row.
+	failedOn  map[wire.MachineID]bool
+	succeeded bool
+	fails     int
+	notBefore time.Time
+	started   bool
+	runs      runStats
+}
+
+func newJob(rec store.JobRecord, stamp wire.Revision) *job {
+	j := &job{spec: rec.Spec, stamp: stamp, at: rec.At.Time()}
+	// Steady from here on; a clock that is off makes no job wait negatively.
+	if age := time.Since(j.at); age > 0 {
+		j.at = time.Now().Add(-age)
+	} else {
+		j.at = time.Now()
+	}
+	j.chunks = make([]*chunk, (rec.Spec.Parts+store.ChunkSize-1)/store.ChunkSize)
+	return j
+}
+
+func (j *job) pending() int { return j.spec.Parts - j.done - j.held }
+
+func (j *job) chunk(n int) *chunk {
+	if j.chunks[n] == nil {
+		j.chunks[n] = &chunk{job: j, n: n, next: 1,
+			state: make([]uint8, min(store.ChunkSize, j.spec.Parts-n*store.ChunkSize)), holds: map[int]*attempt{}}
+	}
+	return j.chunks[n]
+}
+
+// attempts lists what may be on machines.
+func (j *job) attempts() []*attempt {
+	var out []*attempt
+	for _, c := range j.chunks {
+		if c != nil {
+			for _, a := range c.holds {
+				out = append(out, a)
+			}
+		}
+	}
+	return out
+}
+
+// eachPending calls f for up to n pending tasks.
+func (j *job) eachPending(n int, f func(c *chunk, index int)) {
+	for ci := range j.chunks {
+		c := j.chunk(ci)
+		for i, s := range c.state {
+			if n == 0 {
+				return
+			}
+			if s == taskPending {
+				f(c, i)
+				n--
+			}
+		}
+	}
+}
+
+type chunk struct {
+	job   *job
+	n     int
+	stamp wire.Revision
+	next  wire.Attempt
+	state []uint8
+	holds map[int]*attempt
+	dirty bool // differs from what is stored or being stored
+	busy  bool // being written
+}
+
+func (c *chunk) hold(a *attempt) {
+	c.state[a.index] = taskHeld
+	c.holds[a.index] = a
+	c.job.held++
+	a.m.tasks[a.task()] = a
+}
+
+// record is the chunk as it is stored.
+func (c *chunk) record() store.ChunkRecord {
+	done := make([]bool, len(c.state))
+	for i, s := range c.state {
+		done[i] = s == taskDone
+	}
+	rec := store.ChunkRecord{Next: c.next, Done: store.Ranges(done), Held: []store.Held{}}
+	for i, a := range c.holds {
+		rec.Held = append(rec.Held, store.Held{Task: i, Try: a.try, On: a.m.id})
+	}
+	slices.SortFunc(rec.Held, func(a, b store.Held) int { return a.Task - b.Task })
+	return rec
+}
+
+// attempt is one start of a task that may be on its machine, or may still
+// get there.
+type attempt struct {
+	job   *job
+	chunk *chunk
+	index int
+	try   wire.Attempt
+	m     *machine
+	at    time.Time // when it was decided on
+
+	planned   bool // not yet stored; must not be sent
+	inherited bool // stored by an earlier leader, who may have sent it
+	seen      bool // was in a report in this term
+	phase     wire.Phase
+	runAt     time.Time // first seen running
+	ready     time.Time // when it was first seen past its fetch
+
+	// What of ours may still deliver its launch.
+	sent       bool
+	sentShift  wire.Session
+	directBusy bool
+	lost       bool // a direct launch was never answered
+	lostToken  wire.Token
+	helloShift wire.Session
+	helloTally wire.Tally
+
+	halting  bool
+	windDown wire.Seconds
+	haltSent time.Time
+	haltWhy  string
+}
+
+func (a *attempt) task() wire.Task {
+	return wire.Task{Job: a.job.spec.ID, Index: a.chunk.n*store.ChunkSize + a.index}
+}
+
+// canStart tells whether a launch of the attempt may still take effect on
+// the worker after it made this report.
+func (t *term) canStart(a *attempt, rep *wire.Report, viaHello bool) bool {
+	switch {
+	case a.planned:
+		return false
+	case a.inherited && rep.Baton < t.first:
+		// An earlier leader's launch dies only by a higher token.
+		return true
+	case a.directBusy && rep.Shift <= a.sentShift:
+		return true
+	case a.lost && rep.Baton <= a.lostToken && rep.Shift <= a.sentShift:
+		// Held up on its way, it may come minutes late.
+		return true
+	case a.helloTally > 0 && a.helloShift == rep.Shift && !(viaHello && rep.Tally > a.helloTally):
+		// The worker has not yet done with the answer that carried it.
+		return true
+	}
+	return false
+}
+
+// drop ends an attempt: nothing of it is on its machine, nor can get there.
+func (t *term) drop(a *attempt, state uint8) {
+	c := a.chunk
+	if c.holds[a.index] != a {
+		return
+	}
+	delete(c.holds, a.index)
+	if a.m.tasks[a.task()] == a {
+		delete(a.m.tasks, a.task())
+	}
+	c.state[a.index] = state
+	c.dirty = true
+	a.job.held--
+	if state == taskDone {
+		a.job.done++
+	}
+	a.m.usedAt = time.Now()
+	t.checkOver(a.job)
+	t.wantRound()
+}
+
+// halt wants the attempt stopped.
+func (t *term) halt(a *attempt, windDown wire.Seconds, why string) {
+	if a.planned {
+		if !a.chunk.busy {
+			t.drop(a, taskPending)
+		} else {
+			a.halting, a.windDown, a.haltWhy = true, windDown, why
+		}
+		return
+	}
+	if a.halting && a.windDown <= windDown {
+		return
+	}
+	a.halting, a.windDown, a.haltWhy, a.haltSent = true, windDown, why, time.Time{}
+	if why != "cancelled" {
+		t.log().Info("stops", "task", a.task(), "try", a.try, "machine", a.m.id, "why", why)
+		t.l.Metrics.Moved(why)
+	}
+	t.dispatch(a.m)
+}
+
+// res of the attempt.
+func (a *attempt) res() placement.Res { return placement.Of(&a.job.spec) }
--- /dev/null
+++ b/internal/leader/view.go
@@ -0,0 +1,90 @@
+package leader
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"lilaclead/internal/wire"
+)
+
+// View is what a leader shows operators.
+type View struct {
+	Machines []MachineView `cbor:"machines"`
+	Jobs     []JobView     `cbor:"jobs"`
+	Deciding bool          `cbor:"deciding"`
+	Bookings int           `cbor:"bookings"`
+}
+
+// MachineView is one machine.
+type MachineView struct {
+	Name     wire.MachineID `cbor:"name"`
+	Kit      wire.Kit       `cbor:"kit"`
+	Zone     wire.Zone      `cbor:"zone"`
+	Spot     bool           `cbor:"spot"`
+	Booting  bool           `cbor:"booting"`
+	Drain    string         `cbor:"drain,omitempty"`
+	Tasks    int            `cbor:"tasks"`
+	SilentS  float64        `cbor:"silent_s"`
+	FreeCPUs float64        `cbor:"free_cpus"`
+}
+
+// JobView is one unfinished job.
+type JobView struct {
+	ID        wire.JobID  `cbor:"id"`
+	Lane      string      `cbor:"lane"`
+	Team      wire.TeamID `cbor:"team"`
+	Parts     int         `cbor:"parts"`
+	Done      int         `cbor:"done"`
+	Held      int         `cbor:"held"`
+	Fails     int         `cbor:"fails"`
+	AgeS      float64     `cbor:"age_s"`
+	Cancelled bool        `cbor:"cancelled"`
+}
+
+// Look asks the term's loop for a view; nil if this node does not lead.
+func (l *Leader) Look(ctx context.Context) *View {
+	t := l.term.Load()
+	if t == nil {
+		return nil
+	}
+	out := make(chan *View, 1)
+	ask := func() { out <- t.look(time.Now()) }
+	select {
+	case t.inbox <- ask:
+	case <-t.over:
+		return nil
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case v := <-out:
+		return v
+	case <-t.over:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// viewMost bounds the view of a large cluster.
+const viewMost = 500
+
+func (t *term) look(now time.Time) *View {
+	v := &View{Deciding: t.deciding(), Bookings: len(t.fleet.bookings)}
+	for _, m := range t.machines {
+		if len(v.Machines) == viewMost {
+			break
+		}
+		v.Machines = append(v.Machines, MachineView{m.id, m.kit, m.zone, m.spot, m.booting, m.drain, len(m.tasks), t.silence(m, now).Seconds(), t.free(m).CPUs})
+	}
+	for _, j := range t.jobs {
+		if len(v.Jobs) == viewMost {
+			break
+		}
+		v.Jobs = append(v.Jobs, JobView{j.spec.ID, j.spec.Lane, j.spec.Owner, j.spec.Parts, j.done, j.held, j.fails, now.Sub(j.at).Seconds(), j.cancelled})
+	}
+	slices.SortFunc(v.Machines, func(a, b MachineView) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	slices.SortFunc(v.Jobs, func(a, b JobView) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return v
+}
--- /dev/null
+++ b/internal/leader/write.go
@@ -0,0 +1,350 @@
+package leader
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+const (
+	// bookEvery paces writes that only keep books, to spare the write budget
+	// for submissions, launches and final states.
+	bookEvery = 300 * time.Millisecond
+	// maxTxnBytes keeps a transaction below the service's 64 KiB, with room
+	// for guards.
+	maxTxnBytes = 48 << 10
+)
+
+// batch is one transaction under way, with what it stands for.
+type batch struct {
+	txn     wire.Txn
+	chunks  []*chunk
+	planned []*attempt
+	over    []*job // archived by it
+	orphans int
+}
+
+// flush writes what has changed, in one transaction at a time: final states
+// and launches first, then bookkeeping at its own pace.
+func (t *term) flush(now time.Time) {
+	if t.writing || t.raising || now.Before(t.retryAt) {
+		return
+	}
+	if t.wantRaise && now.After(t.raiseAt) {
+		t.raise(nil)
+		return
+	}
+	b := &batch{txn: wire.Txn{Guards: []wire.Guard{{Key: store.LeadKey, Stamp: wire.Revision(t.token)}}}}
+	ops, size := t.set.State.TxnOps, 0
+	guards := 4 * ops
+	full := func(n, bytes int) bool {
+		return len(b.txn.Writes)+n > ops || len(b.txn.Guards)+2*n > guards || size+bytes > maxTxnBytes
+	}
+	put := func(c *chunk, rec *store.ChunkRecord) {
+		size += rec.JSONSize()
+		b.txn.Guards = append(b.txn.Guards, wire.Guard{Key: store.ChunkKey(c.job.spec.ID, c.n), Stamp: c.stamp})
+		b.txn.Writes = append(b.txn.Writes, wire.Write{Put: store.ChunkKey(c.job.spec.ID, c.n), Value: wire.Encode(rec)})
+		b.chunks = append(b.chunks, c)
+	}
+	urgent := false
+	for _, j := range t.jobs {
+		if j.over && !j.archiving && !j.stale {
+			t.archive(b, j, full)
+			urgent = true
+		}
+	}
+	var book []*chunk
+	jobs := make([]*job, 0, len(t.jobs))
+	for _, j := range t.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return b.spec.Urgency.Rank() - a.spec.Urgency.Rank() })
+	for _, j := range jobs {
+		if j.archiving || j.over || j.stale {
+			continue
+		}
+		for _, c := range j.chunks {
+			if c == nil || !c.dirty {
+				continue
+			}
+			var planned []*attempt
+			for _, a := range c.holds {
+				if a.planned {
+					planned = append(planned, a)
+				}
+			}
+			if len(planned) == 0 {
+				book = append(book, c)
+				continue
+			}
+			rec := c.record()
+			if full(1, rec.JSONSize()) {
+				continue
+			}
+			put(c, &rec)
+			key := store.JobKey(j.spec.ID)
+			if !slices.ContainsFunc(b.txn.Guards, func(g wire.Guard) bool { return g.Key == key }) {
+				// A job that was cancelled meanwhile starts nothing.
+				b.txn.Guards = append(b.txn.Guards, wire.Guard{Key: key, Stamp: j.stamp})
+			}
+			b.planned = append(b.planned, planned...)
+			urgent = true
+		}
+	}
+	if urgent || len(book) > 0 && now.After(t.bookAt) {
+		for _, c := range book {
+			rec := c.record()
+			if !full(1, rec.JSONSize()) {
+				put(c, &rec)
+			}
+		}
+		t.bookAt = now.Add(bookEvery)
+	}
+	for len(t.fleet.orphans) > 0 && !urgent && len(b.chunks) == 0 && !full(1, 0) {
+		o := t.fleet.orphans[0]
+		t.fleet.orphans = t.fleet.orphans[1:]
+		b.txn.Guards = append(b.txn.Guards, o)
+		b.txn.Writes = append(b.txn.Writes, wire.Write{Drop: o.Key})
+		b.orphans++
+	}
+	if len(b.txn.Writes) == 0 {
+		return
+	}
+	for _, c := range b.chunks {
+		c.dirty, c.busy = false, true
+	}
+	class := store.Duty
+	if urgent {
+		class = store.Vital
+	}
+	t.writing = true
+	go func() {
+		rev, err := t.l.Store.Commit(t.ctx, class, b.txn)
+		t.post(func() { t.written(b, rev, err) })
+	}()
+}
+
+// archive replaces a job that is over by its final record. Chunks beyond
+// what one transaction takes are dropped later, as orphans.
+func (t *term) archive(b *batch, j *job, full func(n, bytes int) bool) {
+	for _, c := range j.chunks {
+		if c != nil && c.busy {
+			return
+		}
+	}
+	if full(2, 200) {
+		return
+	}
+	status := wire.Done
+	if j.cancelled {
+		status = wire.Cancelled
+	}
+	id := j.spec.ID
+	b.txn.Guards = append(b.txn.Guards,
+		wire.Guard{Key: store.JobKey(id), Stamp: j.stamp}, wire.Guard{Key: store.PastKey(id), Stamp: 0})
+	b.txn.Writes = append(b.txn.Writes, wire.Write{Drop: store.JobKey(id)},
+		wire.Write{Put: store.PastKey(id), Value: wire.Encode(store.PastRecord{Status: status, Done: j.done})})
+	for _, c := range j.chunks {
+		if c == nil || c.stamp == 0 {
+			continue
+		}
+		g := wire.Guard{Key: store.ChunkKey(id, c.n), Stamp: c.stamp}
+		if full(1, 0) {
+			t.fleet.orphans = append(t.fleet.orphans, g)
+			continue
+		}
+		b.txn.Guards = append(b.txn.Guards, g)
+		b.txn.Writes = append(b.txn.Writes, wire.Write{Drop: g.Key})
+	}
+	j.archiving = true
+	b.over = append(b.over, j)
+}
+
+// written takes in the outcome of a transaction.
+func (t *term) written(b *batch, rev wire.Revision, err error) {
+	t.writing = false
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		t.committed(b, rev)
+	case errors.As(err, &conflict) && conflict.Has(store.LeadKey):
+		t.end("the office is another's")
+	case errors.As(err, &conflict):
+		t.undo(b)
+		for _, j := range t.jobs {
+			if conflict.Has(store.JobKey(j.spec.ID)) {
+				t.reread(j)
+			}
+		}
+		for _, c := range b.chunks {
+			if conflict.Has(store.ChunkKey(c.job.spec.ID, c.n)) {
+				t.end("a chunk was written by another hand: " + store.ChunkKey(c.job.spec.ID, c.n))
+			}
+		}
+	case errors.Is(err, store.ErrUnknown):
+		// It may be applied yet, minutes from now. A new token ends that;
+		// then a look tells what was.
+		t.log().Info("outcome of a write unknown", "writes", len(b.txn.Writes))
+		t.writing = true
+		t.raise(b)
+	default:
+		t.undo(b)
+		t.retryAt = time.Now().Add(150 * time.Millisecond)
+	}
+}
+
+func (t *term) committed(b *batch, rev wire.Revision) {
+	for _, c := range b.chunks {
+		c.stamp, c.busy = rev, false
+	}
+	for _, j := range b.over {
+		status := wire.Done
+		if j.cancelled {
+			status = wire.Cancelled
+		}
+		t.log().Info("job over", "job", j.spec.ID, "status", status, "took", time.Since(j.at))
+		delete(t.jobs, j.spec.ID)
+	}
+	touched := map[*machine]bool{}
+	for _, a := range b.planned {
+		if a.chunk.holds[a.index] != a {
+			continue
+		}
+		a.planned = false
+		if a.halting || a.job.cancelled || a.m.drain != "" || a.m.releasing || t.machines[a.m.id] != a.m {
+			// Never sent by anyone: it needs no chase.
+			t.drop(a, taskPending)
+			continue
+		}
+		touched[a.m] = true
+	}
+	for m := range touched {
+		t.dispatch(m)
+	}
+}
+
+// undo marks all of a transaction that was not executed as still to be
+// written.
+func (t *term) undo(b *batch) {
+	for _, c := range b.chunks {
+		c.dirty, c.busy = true, false
+	}
+	for _, j := range b.over {
+		j.archiving = false
+	}
+	for _, a := range b.planned {
+		if a.halting && a.chunk.holds[a.index] == a {
+			t.drop(a, taskPending)
+		}
+	}
+}
+
+// reread reads a job's record again after a guard on it failed.
+func (t *term) reread(j *job) {
+	j.stale = true
+	id := j.spec.ID
+	go func() {
+		e, err := t.l.Store.Get(t.ctx, store.Vital, store.JobKey(id))
+		t.post(func() {
+			switch {
+			case err == nil:
+				t.learn(e.Value, e.Stamp)
+			case errors.Is(err, store.ErrMissing):
+				t.end("a live job's record is gone: " + string(id))
+			case j.stale:
+				time.AfterFunc(300*time.Millisecond, func() { t.post(func() { t.reread(j) }) })
+			}
+		})
+	}()
+}
+
+// raise takes a higher token for this term by a guarded write. Nothing that
+// was sent under the old one can take effect afterwards: transactions fail
+// at their guard, and commands at every worker that has seen the new one. If
+// b is given, its outcome is then looked up.
+func (t *term) raise(b *batch) {
+	t.raising = true
+	t.wantRaise, t.raiseAt = false, time.Now().Add(t.set.Workers.LeaseS.Duration()/2)
+	old := t.token
+	value := wire.Encode(store.LeadRecord{Node: t.l.Config.HostName, Nonce: t.l.nonce})
+	go func() {
+		for t.ctx.Err() == nil {
+			rev, err := t.l.Store.Commit(t.ctx, store.Vital, wire.Txn{
+				Guards: []wire.Guard{{Key: store.LeadKey, Stamp: wire.Revision(old)}},
+				Writes: []wire.Write{{Put: store.LeadKey, Value: value, Permit: t.permit}},
+			})
+			if err != nil {
+				// Executed, perhaps by an earlier try: then the key is ours
+				// with a new revision.
+				e, err2 := t.l.Store.Get(t.ctx, store.Vital, store.LeadKey)
+				var rec store.LeadRecord
+				switch {
+				case errors.Is(err2, store.ErrMissing):
+					t.end("the office is vacant")
+					return
+				case err2 == nil && wire.Decode(e.Value, &rec) == nil:
+					if rec.Nonce != t.l.nonce || e.Permit != t.permit {
+						t.end("the office is another's")
+						return
+					}
+					if wire.Token(e.Stamp) > old {
+						rev, err = e.Stamp, nil
+					}
+				}
+			}
+			if err == nil {
+				t.post(func() { t.raised(wire.Token(rev), b) })
+				return
+			}
+			select {
+			case <-t.ctx.Done():
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+	}()
+}
+
+func (t *term) raised(token wire.Token, b *batch) {
+	t.log().Info("token raised", "from", t.token, "to", token)
+	t.token = token
+	t.l.Mesh.Raise(t.ctx, token)
+	t.raising = false
+	if b != nil {
+		go t.lookUp(b)
+	}
+}
+
+// lookUp finds out what became of a transaction that can't be executed any
+// more. All its writes share one fate, so one key tells.
+func (t *term) lookUp(b *batch) {
+	for t.ctx.Err() == nil {
+		g := b.txn.Guards[len(b.txn.Guards)-1]
+		for _, x := range b.txn.Guards[1:] {
+			for _, w := range b.txn.Writes {
+				if w.Put == x.Key || w.Drop == x.Key {
+					g = x
+				}
+			}
+		}
+		e, err := t.l.Store.Get(t.ctx, store.Vital, g.Key)
+		if err == nil || errors.Is(err, store.ErrMissing) {
+			t.post(func() {
+				t.writing = false
+				switch {
+				case e.Stamp == g.Stamp: // 0: still missing
+					t.undo(b)
+				default:
+					t.committed(b, e.Stamp)
+				}
+			})
+			return
+		}
+		select {
+		case <-t.ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/mesh.go
@@ -0,0 +1,307 @@
+// Package peer links the nodes: each keeps an HTTP/2 stream to each other
+// node and beats on it; every beat is answered on the same stream. The beats
+// carry the highest token that a node knows, and the answers are the
+// acknowledgements that let a leader serve while the state service is away.
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/wire"
+)
+
+const (
+	// X is how old an acknowledgement may be to count, and how long a fresh
+	// process gives none: what it acknowledged in its last life is forgotten,
+	// and may have been a higher token.
+	X = 2 * time.Second
+	// B bounds how long a leader may serve without the state service.
+	B = 60 * time.Second
+
+	beatEvery = 400 * time.Millisecond
+	// silent is how long a stream may be silent before it is opened anew.
+	silent = 3 * time.Second
+)
+
+// Beat is what goes over a stream in both directions.
+type Beat struct {
+	From wire.NodeID `cbor:"from"`
+	Seq  uint64      `cbor:"seq"`
+	// Token is the highest that the sender knows; in an answer it is the
+	// acknowledgement, 0 for none.
+	Token wire.Token `cbor:"token"`
+	// Leads: the sender leads with that token.
+	Leads bool `cbor:"leads"`
+	// Serves: the sender reaches the state service.
+	Serves bool `cbor:"serves"`
+	// Hears is how many workers turned to the sender lately.
+	Hears int `cbor:"hears"`
+}
+
+// Self is what this node tells the others.
+type Self struct {
+	Leads  bool
+	Serves bool
+	Hears  int
+}
+
+// Other is what is known of another node. Times are steady.
+type Other struct {
+	Beat
+	// Heard is when the last message came in.
+	Heard time.Time
+	// AckSent is when the beat was sent that was answered last, and AckToken
+	// the token acknowledged by it.
+	AckSent  time.Time
+	AckToken wire.Token
+}
+
+// View is what one node knows of all. It is never changed once published.
+type View struct {
+	// Token is the highest that this node knows of.
+	Token wire.Token
+	// Leader is who leads with it, if a beat said so lately.
+	Leader wire.NodeID
+	Others map[wire.NodeID]Other
+}
+
+type event struct {
+	from  wire.NodeID
+	beat  Beat
+	ack   bool
+	sent  time.Time
+	reply chan Beat
+}
+
+// Mesh is the actor that owns the links.
+type Mesh struct {
+	name   wire.NodeID
+	others []config.Other
+	self   func() Self
+	log    *slog.Logger
+	events chan event
+	raise  chan wire.Token
+	view   atomic.Pointer[View]
+	born   time.Time
+	client *http.Client
+}
+
+// New makes a mesh; self is asked before each beat.
+func New(name wire.NodeID, others []config.Other, self func() Self, log *slog.Logger) *Mesh {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	m := &Mesh{
+		name: name, others: others, self: self, log: log,
+		events: make(chan event, 16), raise: make(chan wire.Token, 4), born: time.Now(),
+		client: &http.Client{Transport: &http.Transport{
+			Protocols: &protocols,
+			HTTP2:     &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: 2 * time.Second},
+		}},
+	}
+	m.view.Store(&View{})
+	return m
+}
+
+// View is the newest view.
+func (m *Mesh) View() *View { return m.view.Load() }
+
+// Raise tells the mesh of a token that this node has learnt of.
+func (m *Mesh) Raise(ctx context.Context, t wire.Token) {
+	select {
+	case m.raise <- t:
+	case <-ctx.Done():
+	}
+}
+
+// Acked counts the nodes, this one included, that hold the token and said so
+// in answer to a beat sent within the last X.
+func (v *View) Acked(t wire.Token, now time.Time) int {
+	if v.Token > t {
+		return 0
+	}
+	n := 1
+	for _, o := range v.Others {
+		if o.AckToken == t && now.Sub(o.AckSent) < X {
+			n++
+		}
+	}
+	return n
+}
+
+// Run owns the view until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	for _, o := range m.others {
+		go m.link(ctx, o)
+	}
+	cur := View{Others: map[wire.NodeID]Other{}}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-m.raise:
+			if t > cur.Token {
+				cur.Token, cur.Leader = t, ""
+			}
+		case e := <-m.events:
+			o := cur.Others[e.from]
+			o.Heard = time.Now()
+			if e.ack {
+				if e.sent.After(o.AckSent) {
+					o.AckSent, o.AckToken = e.sent, e.beat.Token
+				}
+			} else {
+				o.Beat = e.beat
+			}
+			cur.Others[e.from] = o
+			if e.beat.Token > cur.Token {
+				cur.Token, cur.Leader = e.beat.Token, ""
+			}
+			if !e.ack && e.beat.Leads && e.beat.Token == cur.Token {
+				cur.Leader = e.from
+			} else if !e.ack && cur.Leader == e.from {
+				cur.Leader = ""
+			}
+			if e.reply != nil {
+				answer := Beat{From: m.name, Seq: e.beat.Seq}
+				if time.Since(m.born) >= X {
+					answer.Token = cur.Token
+				}
+				e.reply <- answer
+			}
+		}
+		next := View{Token: cur.Token, Leader: cur.Leader, Others: make(map[wire.NodeID]Other, len(cur.Others))}
+		for k, o := range cur.Others {
+			next.Others[k] = o
+		}
+		m.view.Store(&next)
+	}
+}
+
+// link keeps a stream to one other node open.
+func (m *Mesh) link(ctx context.Context, o config.Other) {
+	for ctx.Err() == nil {
+		if err := m.stream(ctx, o); err != nil && ctx.Err() == nil {
+			m.log.Debug("link down", "peer", o.HostName, "err", err)
+		}
+		m.client.CloseIdleConnections()
+		select {
+		case <-ctx.Done():
+		case <-time.After(beatEvery):
+		}
+	}
+}
+
+func (m *Mesh) stream(ctx context.Context, o config.Other) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	pr, pw := io.Pipe()
+	defer pw.Close()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+o.Addr+"/peer/beats", pr)
+	if err != nil {
+		return err
+	}
+	// Whatever hangs is cut by the watchdog.
+	dog := time.AfterFunc(silent, cancel)
+	defer dog.Stop()
+	sent := make(chan time.Time, 32) // of the beats not yet answered, in order
+	go func() {
+		enc := cbor.NewEncoder(pw)
+		tick := time.NewTicker(beatEvery)
+		defer tick.Stop()
+		for seq := uint64(1); ; seq++ {
+			s := m.self()
+			now := time.Now()
+			select {
+			case sent <- now:
+			default:
+				pw.CloseWithError(errors.New("peer answers nothing"))
+				return
+			}
+			v := m.View()
+			if enc.Encode(Beat{From: m.name, Seq: seq, Token: v.Token, Leads: s.Leads, Serves: s.Serves, Hears: s.Hears}) != nil {
+				return
+			}
+			select {
+			case <-ctx.Done():
+				pw.CloseWithError(ctx.Err())
+				return
+			case <-tick.C:
+			}
+		}
+	}()
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+	dec := cbor.NewDecoder(resp.Body)
+	for {
+		var b Beat
+		if err := dec.Decode(&b); err != nil {
+			return err
+		}
+		dog.Reset(silent)
+		select {
+		case at := <-sent:
+			select {
+			case m.events <- event{from: o.HostName, beat: b, ack: true, sent: at}:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		default:
+			return errors.New("answer without a beat")
+		}
+	}
+}
+
+// ServeHTTP is the receiving end of a stream.
+func (m *Mesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	w.WriteHeader(http.StatusOK)
+	if rc.Flush() != nil {
+		return
+	}
+	dec, enc := cbor.NewDecoder(r.Body), cbor.NewEncoder(w)
+	reply := make(chan Beat, 1)
+	for {
+		rc.SetReadDeadline(time.Now().Add(silent)) //nolint:errcheck // then the stream ends later, by itself
+		var b Beat
+		if dec.Decode(&b) != nil || !m.knows(b.From) {
+			return
+		}
+		select {
+		case m.events <- event{from: b.From, beat: b, reply: reply}:
+		case <-r.Context().Done():
+			return
+		}
+		select {
+		case a := <-reply:
+			if enc.Encode(a) != nil || rc.Flush() != nil {
+				return
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (m *Mesh) knows(id wire.NodeID) bool {
+	for _, o := range m.others {
+		if o.HostName == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,446 @@
+// Package placement decides what runs where: from a snapshot of machines and
+// waiting jobs to launches and halts. It is pure; it knows no clock and does
+// no I/O.
+//
+// The ordinary path is the design's: each job has a utility tree, machines
+// fall into equivalence classes, and a greedy pass grants one unit after
+// another to the job that gains most utility per unit, raised by the time it
+// has waited.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"lilaclead/internal/utility"
+	"lilaclead/internal/wire"
+)
+
+// Factors are what operators may set of the design's open values.
+type Factors struct {
+	Preferred  float64 // factor of the branch over machines with the image
+	Fallback   float64 // factor of the branch over any fitting machine
+	WaitRaiseS float64 // waiting this long doubles a job's utility per unit
+}
+
+// Res is an amount of each resource.
+type Res struct{ CPUs, Cards, RAM float64 }
+
+// Of is what one task of a job takes.
+func Of(s *wire.Spec) Res { return Res{s.CPUs, s.Cards, s.RAM} }
+
+// Fits tells whether the amount is available.
+func (r Res) Fits(free Res) bool {
+	return r.CPUs <= free.CPUs+wire.Eps && r.Cards <= free.Cards+wire.Eps && r.RAM <= free.RAM+wire.Eps
+}
+
+// Plus adds.
+func (r Res) Plus(o Res) Res { return Res{r.CPUs + o.CPUs, r.Cards + o.Cards, r.RAM + o.RAM} }
+
+// Minus subtracts.
+func (r Res) Minus(o Res) Res { return Res{r.CPUs - o.CPUs, r.Cards - o.Cards, r.RAM - o.RAM} }
+
+// Times multiplies.
+func (r Res) Times(k float64) Res { return Res{r.CPUs * k, r.Cards * k, r.RAM * k} }
+
+// Units is how many times the amount goes into free.
+func (r Res) Units(free Res) int {
+	n := 1 << 20
+	for _, d := range [][2]float64{{r.CPUs, free.CPUs}, {r.Cards, free.Cards}, {r.RAM, free.RAM}} {
+		if d[0] > 0 {
+			n = min(n, int((d[1]+wire.Eps)/d[0]))
+		}
+	}
+	return max(0, n)
+}
+
+// Image as far as it is known to be on a machine.
+type Image int
+
+// What is known.
+const (
+	Absent   Image = iota
+	Fetching       // some task there waits for it
+	Present        // a task has run with it, and it was not pushed out since
+)
+
+// Victim is a task that could be stopped to make room.
+type Victim struct {
+	Task    wire.Task
+	Rank    int
+	Takes   Res
+	Lost    float64 // run time that would be repeated, seconds
+	Beyond  bool    // its team runs beyond its own guarantee
+	Team    wire.TeamID
+	Stopped bool // is being stopped already
+}
+
+// Machine that can take tasks.
+type Machine struct {
+	ID       wire.MachineID
+	Kit      wire.Kit
+	Zone     wire.Zone
+	Spot     bool
+	Total    Res
+	Free     Res // with everything that may still be there taken off
+	PullRate float64
+	Services int // tasks of services there
+	Images   map[wire.ImageID]Image
+	Victims  []Victim
+	kept     int // units of spare room kept here in this round
+}
+
+// Job with tasks that wait.
+type Job struct {
+	Spec     *wire.Spec
+	Pending  int
+	Held     int // tasks that may be on a machine
+	ZoneHeld map[wire.Zone]int
+	WaitedS  float64
+	Weight   float64 // of one unit: priority, guarantee, deadline
+	// Guaranteed: fits into its team's guarantee with the earlier jobs.
+	Guaranteed bool
+}
+
+// Team with what its tasks take and its limit; a limit of 0 is none.
+type Team struct {
+	Used, Limit Res
+}
+
+// Snapshot is all that a round looks at.
+type Snapshot struct {
+	Machines []Machine
+	Jobs     []Job
+	Teams    map[wire.TeamID]*Team
+	Factors  Factors
+	// Spare is room kept free for the next replicas, of SpareTakes each;
+	// only services may use it.
+	Spare      int
+	SpareTakes Res
+	// Preempt allows to stop tasks for jobs of higher priority.
+	Preempt bool
+}
+
+// Start is a launch: one unit of Jobs[Job] on Machines[Machine].
+type Start struct{ Job, Machine int }
+
+// Result of a round.
+type Result struct {
+	Starts []Start
+	Halts  []Victim
+}
+
+// Allowed tells whether the job may run on the machine at all.
+func Allowed(s *wire.Spec, m *Machine) bool {
+	if m.Spot && !s.Standby {
+		return false
+	}
+	if s.Site != "" && s.Site != m.Zone {
+		return false
+	}
+	return s.Kits == nil || slices.Contains(s.Kits, m.Kit)
+}
+
+// zoneOpen tells whether one more task may start in the zone, given where
+// the job's other tasks may be.
+func zoneOpen(j *Job, z wire.Zone) bool {
+	if j.Spec.SamePlace {
+		for other, n := range j.ZoneHeld {
+			if n > 0 && other != z {
+				return false
+			}
+		}
+	}
+	return j.ZoneHeld[z] < j.Spec.ZoneCap()
+}
+
+// room tells whether the team's limit allows one more task.
+func (t *Team) room(take Res) bool {
+	u := t.Used.Plus(take)
+	return (t.Limit.CPUs == 0 || u.CPUs <= t.Limit.CPUs+wire.Eps) &&
+		(t.Limit.Cards == 0 || u.Cards <= t.Limit.Cards+wire.Eps)
+}
+
+// The two classes that a job's tree tells apart among the machines that its
+// hard constraints allow: those whose reports imply its image, and the rest.
+const (
+	withImage utility.Class = iota
+	without
+)
+
+// Unit is the utility tree of one task: the better of the preferred branch
+// and of the fallback over any fitting machine, each a linear leaf of one
+// unit. A job's tree is the Sum over its tasks. One pair of leaves for the
+// whole job would make the fallback worthless as soon as some units hold
+// preferred machines, and tasks would wait where the design says they don't.
+func Unit(f Factors) utility.Expr {
+	return utility.Max{
+		utility.Scale{By: f.Preferred, Of: utility.Linear{From: utility.SetOf(withImage), K: 1, U: 1}},
+		utility.Scale{By: f.Fallback, Of: utility.Linear{From: utility.SetOf(withImage, without), K: 1, U: 1}},
+	}
+}
+
+// Place runs one round.
+func Place(s *Snapshot) Result {
+	var res Result
+	reserve(s)
+	p := pass{s: s, gains: make(map[int][2]float64)}
+	tree := Unit(s.Factors)
+	unit := [2]float64{utility.Gain(tree, utility.Grant{}, withImage), utility.Gain(tree, utility.Grant{}, without)}
+	type waiting struct {
+		job  int
+		left int
+	}
+	queue := make([]waiting, 0, len(s.Jobs))
+	for i := range s.Jobs {
+		j := &s.Jobs[i]
+		if j.Pending == 0 || s.Teams[j.Spec.Owner] == nil {
+			continue
+		}
+		queue = append(queue, waiting{i, j.Pending})
+		raise := j.Weight * (1 + j.WaitedS/max(1, s.Factors.WaitRaiseS))
+		p.gains[i] = [2]float64{unit[withImage] * raise, unit[without] * raise}
+	}
+	// best[i] is the job's best next unit; it is found anew only when the
+	// machine it names has changed.
+	best := make([]choice, len(queue))
+	for i, w := range queue {
+		best[i] = p.choose(w.job)
+	}
+	for {
+		top := -1
+		for i := range queue {
+			if queue[i].left > 0 && best[i].machine >= 0 && (top < 0 || best[i].gain > best[top].gain+1e-12) {
+				top = i
+			}
+		}
+		if top < 0 {
+			break
+		}
+		ji, mi := queue[top].job, best[top].machine
+		j, m := &s.Jobs[ji], &s.Machines[mi]
+		take := Of(j.Spec)
+		m.Free = m.Free.Minus(take)
+		s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
+		j.ZoneHeld[m.Zone]++
+		j.Held++
+		queue[top].left--
+		j.Pending--
+		if j.Spec.Service() {
+			m.Services++
+		}
+		if m.Images[j.Spec.Bundle] == Absent {
+			if m.Images == nil {
+				m.Images = map[wire.ImageID]Image{}
+			}
+			m.Images[j.Spec.Bundle] = Fetching
+		}
+		res.Starts = append(res.Starts, Start{ji, mi})
+		for i := range queue {
+			if queue[i].left == 0 || best[i].machine < 0 {
+				continue
+			}
+			same := s.Jobs[queue[i].job].Spec.Owner == j.Spec.Owner
+			if i == top || best[i].machine == mi || same && !s.Teams[j.Spec.Owner].room(Of(s.Jobs[queue[i].job].Spec)) {
+				best[i] = p.choose(queue[i].job)
+			}
+		}
+	}
+	if s.Preempt {
+		res.Halts = preempt(s)
+	}
+	return res
+}
+
+type pass struct {
+	s     *Snapshot
+	gains map[int][2]float64
+}
+
+type choice struct {
+	machine int
+	gain    float64
+}
+
+// choose finds the machine for the job's next unit: the class with the
+// larger gain first, and within it the machine that fits best.
+func (p *pass) choose(ji int) choice {
+	j := &p.s.Jobs[ji]
+	none := choice{machine: -1}
+	take := Of(j.Spec)
+	if !p.s.Teams[j.Spec.Owner].room(take) {
+		return none
+	}
+	best, bestScore := -1, 0.0
+	bestClass := without
+	for mi := range p.s.Machines {
+		m := &p.s.Machines[mi]
+		if !take.Fits(m.Free) || !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) {
+			continue
+		}
+		if !j.Spec.Service() && spoils(p.s, m, take) {
+			continue
+		}
+		class := without
+		if m.Images[j.Spec.Bundle] == Present {
+			class = withImage
+		}
+		score := fit(j, m, take)
+		if best < 0 || class < bestClass || class == bestClass && score > bestScore {
+			best, bestScore, bestClass = mi, score, class
+		}
+	}
+	if best < 0 {
+		return none
+	}
+	return choice{best, p.gains[ji][bestClass]}
+}
+
+// fit orders the machines of one class: a fetch that is under way beats a
+// new one, spot beats ordinary where both are allowed, services go together,
+// and then the machine that is left fullest.
+func fit(j *Job, m *Machine, take Res) float64 {
+	score := 0.0
+	switch m.Images[j.Spec.Bundle] {
+	case Absent:
+		if m.PullRate > 0 {
+			score -= min(8, j.Spec.ImageGB/m.PullRate) * 0.25
+		}
+	case Fetching:
+		score -= 0.1
+	}
+	if m.Spot {
+		score += 0.5
+	}
+	if j.Spec.Service() && m.Services > 0 {
+		score += 1
+	}
+	left := m.Free.Minus(take)
+	score -= left.CPUs / max(1, m.Total.CPUs)
+	return score
+}
+
+// reserve marks the spare room: Spare times SpareTakes, on the ordinary
+// machines where a service would go first.
+func reserve(s *Snapshot) {
+	if s.Spare <= 0 {
+		return
+	}
+	order := make([]int, 0, len(s.Machines))
+	for i := range s.Machines {
+		if !s.Machines[i].Spot {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		ma, mb := &s.Machines[a], &s.Machines[b]
+		return cmp.Or(cmp.Compare(mb.Services, ma.Services), cmp.Compare(ma.Free.CPUs, mb.Free.CPUs))
+	})
+	left := s.Spare
+	for _, i := range order {
+		m := &s.Machines[i]
+		n := min(left, s.SpareTakes.Units(m.Free))
+		m.kept = n
+		left -= n
+	}
+}
+
+// spoils tells whether an array's task would take room kept for services.
+func spoils(s *Snapshot, m *Machine, take Res) bool {
+	return m.kept > 0 && !take.Plus(s.SpareTakes.Times(float64(m.kept))).Fits(m.Free)
+}
+
+// preempt picks tasks to stop so that what still waits with a higher
+// priority finds room: the machine where the least work is lost.
+func preempt(s *Snapshot) []Victim {
+	var halts []Victim
+	waiting := make([]int, 0)
+	for i := range s.Jobs {
+		if s.Jobs[i].Pending > 0 && s.Jobs[i].Spec.Urgency.Rank() > 0 {
+			waiting = append(waiting, i)
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b int) int {
+		return cmp.Compare(s.Jobs[b].Spec.Urgency.Rank(), s.Jobs[a].Spec.Urgency.Rank())
+	})
+	for _, ji := range waiting {
+		j := &s.Jobs[ji]
+		take := Of(j.Spec)
+		for range min(j.Pending, 8) {
+			if !s.Teams[j.Spec.Owner].room(take) {
+				break
+			}
+			mi, picks := cheapest(s, j, take)
+			if mi < 0 {
+				break
+			}
+			m := &s.Machines[mi]
+			for _, vi := range picks {
+				v := &m.Victims[vi]
+				m.Free = m.Free.Plus(v.Takes)
+				if !v.Stopped {
+					v.Stopped = true
+					halts = append(halts, *v)
+				}
+				v.Rank = 99 // its room is spoken for
+			}
+			m.Free = m.Free.Minus(take)
+			s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
+			j.ZoneHeld[m.Zone]++
+		}
+	}
+	return halts
+}
+
+// mayStop is the page's rule: a lower priority, or for a team's guarantee
+// what another team runs beyond its own.
+func mayStop(j *Job, v *Victim) bool {
+	if v.Rank == 99 {
+		return false
+	}
+	return v.Rank < j.Spec.Urgency.Rank() || j.Guaranteed && v.Beyond && v.Team != j.Spec.Owner && j.Spec.Service()
+}
+
+// cheapest finds the machine where the unit costs the least lost work.
+func cheapest(s *Snapshot, j *Job, take Res) (int, []int) {
+	best, bestLost := -1, 0.0
+	var bestPicks []int
+	for mi := range s.Machines {
+		m := &s.Machines[mi]
+		if !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) || !take.Fits(m.Total) {
+			continue
+		}
+		order := make([]int, 0, len(m.Victims))
+		for vi := range m.Victims {
+			if mayStop(j, &m.Victims[vi]) {
+				order = append(order, vi)
+			}
+		}
+		slices.SortStableFunc(order, func(a, b int) int {
+			va, vb := &m.Victims[a], &m.Victims[b]
+			if va.Stopped != vb.Stopped {
+				if va.Stopped {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Or(cmp.Compare(va.Rank, vb.Rank), cmp.Compare(va.Lost, vb.Lost))
+		})
+		free, lost := m.Free, 0.0
+		var picks []int
+		for _, vi := range order {
+			if take.Fits(free) {
+				break
+			}
+			free = free.Plus(m.Victims[vi].Takes)
+			if !m.Victims[vi].Stopped {
+				lost += m.Victims[vi].Lost + 5
+			}
+			picks = append(picks, vi)
+		}
+		if take.Fits(free) && (best < 0 || lost < bestLost) {
+			best, bestLost, bestPicks = mi, lost, picks
+		}
+	}
+	return best, bestPicks
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,332 @@
+// Package store is the client of the state service: requests within the rate
+// budgets, and a clear word on what is known of a transaction afterwards.
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/wire"
+)
+
+// What a call can come to, other than its result.
+var (
+	// ErrMissing: the key or grant does not exist.
+	ErrMissing = errors.New("state: no such key or grant")
+	// ErrRefused: certainly not executed (429, 503, connection refused, or no
+	// room in our own budget).
+	ErrRefused = errors.New("state: refused")
+	// ErrUnknown: no usable answer; a change may have been executed, or may
+	// still be.
+	ErrUnknown = errors.New("state: outcome unknown")
+	// ErrTooOld: the watch asks for changes that are no longer kept.
+	ErrTooOld = errors.New("state: revision too old")
+	// ErrInvalid: the service calls the request malformed.
+	ErrInvalid = errors.New("state: request refused as invalid")
+)
+
+// ConflictError lists the guards that failed.
+type ConflictError struct{ Failed []string }
+
+func (e *ConflictError) Error() string { return "state: guards failed: " + strings.Join(e.Failed, ",") }
+
+// Has tells whether the guard on the key failed.
+func (e *ConflictError) Has(key string) bool {
+	for _, k := range e.Failed {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+// Class of a request: who waits for the budget and who does not.
+type Class int
+
+// The classes.
+const (
+	// Vital requests (renewals, elections, launches) never wait for the
+	// budget, but are counted in it.
+	Vital Class = iota
+	// Duty requests (bookkeeping, recovery) wait for the budget.
+	Duty
+	// User requests are refused at once when the budget is used up.
+	User
+)
+
+// Client talks to the state service. It is safe for concurrent use.
+type Client struct {
+	base    string
+	http    *http.Client
+	watches *http.Client
+	calls   *rate.Limiter
+	writes  *rate.Limiter
+
+	// lastGood is the steady time of the last answer that shows the service
+	// serves us, in nanoseconds since started.
+	lastGood atomic.Int64
+	lastBad  atomic.Int64
+	started  time.Time
+	// Observe is told of every call, for the metrics.
+	Observe func(op string, outcome string, took time.Duration)
+}
+
+// ops and errors of one request must be over within this time.
+const callTimeout = 1500 * time.Millisecond
+
+// New makes a client. The budgets are the whole deployment's; a node takes
+// the larger half of what is left if the others take little, since mostly
+// one node leads and writes.
+func New(addr string, s config.State, size int) *Client {
+	share := func(total float64) float64 { return max(2, total*0.6) }
+	if size == 1 {
+		share = func(total float64) float64 { return total }
+	}
+	return &Client{
+		base:    "http://" + addr,
+		http:    &http.Client{Transport: transport(12)},
+		watches: &http.Client{Transport: transport(4)},
+		calls:   rate.NewLimiter(rate.Limit(share(s.RPS)), int(share(s.RPS))),
+		writes:  rate.NewLimiter(rate.Limit(share(s.WriteRPS)), int(share(s.WriteRPS))),
+		started: time.Now(),
+		Observe: func(string, string, time.Duration) {},
+	}
+}
+
+func transport(conns int) *http.Transport {
+	return &http.Transport{
+		MaxConnsPerHost:       conns,
+		MaxIdleConnsPerHost:   conns,
+		IdleConnTimeout:       30 * time.Second,
+		DisableCompression:    true,
+		ResponseHeaderTimeout: 0,
+	}
+}
+
+// Reachable tells whether the service has served this node lately: its last
+// good answer is newer than its last refusal.
+func (c *Client) Reachable() bool { return c.lastGood.Load() >= c.lastBad.Load() }
+
+func (c *Client) admit(ctx context.Context, class Class, writes int) error {
+	switch class {
+	case Vital:
+		c.calls.AllowN(time.Now(), 1)
+		c.writes.AllowN(time.Now(), writes)
+	case Duty:
+		if err := c.calls.Wait(ctx); err != nil {
+			return ErrRefused
+		}
+		if writes > 0 {
+			if err := c.writes.WaitN(ctx, min(writes, c.writes.Burst())); err != nil {
+				return ErrRefused
+			}
+		}
+	case User:
+		if !c.calls.Allow() || writes > 0 && !c.writes.AllowN(time.Now(), min(writes, c.writes.Burst())) {
+			return ErrRefused
+		}
+	}
+	return nil
+}
+
+func (c *Client) do(ctx context.Context, hc *http.Client, op, method, path string, body any, out any, timeout time.Duration) (status int, err error) {
+	begin := time.Now()
+	outcome := "ok"
+	defer func() {
+		if err != nil {
+			outcome = err.Error()
+		} else if status >= 400 {
+			outcome = strconv.Itoa(status)
+		}
+		c.Observe(op, outcome, time.Since(begin))
+	}()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var rd *bytes.Reader
+	if body != nil {
+		rd = bytes.NewReader(wire.Encode(body))
+	} else {
+		rd = bytes.NewReader(nil)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrInvalid, err)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", wire.ContentType)
+	}
+	// net/http must not send a change twice by itself: we decide on retries.
+	req.GetBody = nil
+	resp, err := hc.Do(req)
+	if err != nil {
+		c.lastBad.Store(int64(time.Since(c.started)))
+		if wire.NotSent(err) {
+			return 0, ErrRefused
+		}
+		return 0, ErrUnknown
+	}
+	defer resp.Body.Close()
+	raw, err := wire.ReadBody(resp.Body, 8<<20)
+	if err != nil {
+		c.lastBad.Store(int64(time.Since(c.started)))
+		return 0, ErrUnknown
+	}
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusNotFound, http.StatusConflict:
+		c.lastGood.Store(int64(time.Since(c.started)))
+		if out != nil && len(raw) > 0 {
+			if err := wire.Decode(raw, out); err != nil {
+				return 0, fmt.Errorf("%w: bad answer: %v", ErrUnknown, err)
+			}
+		}
+		return resp.StatusCode, nil
+	case http.StatusTooManyRequests:
+		return resp.StatusCode, ErrRefused
+	case http.StatusServiceUnavailable:
+		c.lastBad.Store(int64(time.Since(c.started)))
+		return resp.StatusCode, ErrRefused
+	case http.StatusGone:
+		return resp.StatusCode, ErrTooOld
+	case http.StatusBadRequest:
+		return resp.StatusCode, ErrInvalid
+	default:
+		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrUnknown, resp.StatusCode)
+	}
+}
+
+// Get reads one key.
+func (c *Client) Get(ctx context.Context, class Class, key string) (wire.Entry, error) {
+	var e wire.Entry
+	if err := c.admit(ctx, class, 0); err != nil {
+		return e, err
+	}
+	status, err := c.do(ctx, c.http, "get", "GET", "/kv/"+key, nil, &e, callTimeout)
+	if err != nil {
+		return e, err
+	}
+	if status != http.StatusOK {
+		return wire.Entry{}, ErrMissing
+	}
+	return e, nil
+}
+
+// List reads all keys with a prefix, page by page.
+func (c *Client) List(ctx context.Context, class Class, prefix string) ([]wire.Entry, wire.Revision, error) {
+	var all []wire.Entry
+	var first wire.Revision
+	after := ""
+	for {
+		if err := c.admit(ctx, class, 0); err != nil {
+			return nil, 0, err
+		}
+		q := "/kv?under=" + url.QueryEscape(prefix) + "&page=500"
+		if after != "" {
+			q += "&after=" + url.QueryEscape(after)
+		}
+		var page wire.EntryPage
+		status, err := c.do(ctx, c.http, "list", "GET", q, nil, &page, 2*callTimeout)
+		if err != nil {
+			return nil, 0, err
+		}
+		if status != http.StatusOK {
+			return nil, 0, fmt.Errorf("%w: status %d", ErrUnknown, status)
+		}
+		if first == 0 {
+			// A watch from the revision of the first page misses nothing
+			// that a later page was read before.
+			first = page.Ledger
+		}
+		all = append(all, page.Entries...)
+		if !page.Truncated || len(page.Entries) == 0 {
+			return all, first, nil
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+}
+
+// Commit executes a transaction and returns its revision.
+func (c *Client) Commit(ctx context.Context, class Class, txn wire.Txn) (wire.Revision, error) {
+	if txn.Guards == nil {
+		txn.Guards = []wire.Guard{}
+	}
+	if txn.Writes == nil {
+		txn.Writes = []wire.Write{}
+	}
+	if err := c.admit(ctx, class, len(txn.Writes)); err != nil {
+		return 0, err
+	}
+	var res wire.TxnResult
+	status, err := c.do(ctx, c.http, "txn", "POST", "/txn", txn, &res, callTimeout)
+	switch {
+	case err != nil:
+		return 0, err
+	case status == http.StatusOK && res.Ledger > 0:
+		return res.Ledger, nil
+	case status == http.StatusConflict:
+		return res.Ledger, &ConflictError{Failed: res.Failed}
+	default:
+		return 0, fmt.Errorf("%w: status %d", ErrUnknown, status)
+	}
+}
+
+// Grant opens a lease.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (wire.GrantID, error) {
+	if err := c.admit(ctx, Vital, 0); err != nil {
+		return 0, err
+	}
+	var res wire.GrantResult
+	status, err := c.do(ctx, c.http, "grant", "POST", "/grants", wire.GrantAsk{LifeMs: life.Milliseconds()}, &res, callTimeout)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, fmt.Errorf("%w: status %d", ErrUnknown, status)
+	}
+	return res.Permit, nil
+}
+
+// Renew gives a lease its full time again.
+func (c *Client) Renew(ctx context.Context, id wire.GrantID, timeout time.Duration) error {
+	if err := c.admit(ctx, Vital, 0); err != nil {
+		return err
+	}
+	status, err := c.do(ctx, c.http, "renew", "POST", fmt.Sprintf("/grants/%d/renew", id), map[string]any{}, nil, timeout)
+	if err != nil {
+		return err
+	}
+	if status == http.StatusNotFound {
+		return ErrMissing
+	}
+	return nil
+}
+
+// End gives a lease back.
+func (c *Client) End(ctx context.Context, id wire.GrantID) error {
+	_, err := c.do(ctx, c.http, "end", "DELETE", fmt.Sprintf("/grants/%d", id), nil, nil, callTimeout)
+	return err
+}
+
+// Watch waits for changes under a prefix after a revision, for up to block.
+func (c *Client) Watch(ctx context.Context, prefix string, after wire.Revision, block time.Duration) (wire.Changes, error) {
+	var res wire.Changes
+	if err := c.admit(ctx, Vital, 0); err != nil {
+		return res, err
+	}
+	q := fmt.Sprintf("/changes?under=%s&after=%d&blockMs=%d", url.QueryEscape(prefix), after, block.Milliseconds())
+	status, err := c.do(ctx, c.watches, "watch", "GET", q, nil, &res, block+3*time.Second)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("%w: status %d", ErrUnknown, status)
+	}
+	return res, err
+}
--- /dev/null
+++ b/internal/store/records.go
@@ -0,0 +1,133 @@
+package store
+
+import (
+	"strconv"
+	"strings"
+
+	"lilaclead/internal/wire"
+)
+
+// Layout of the state service. A live job is one record, job/<id>, with its
+// spec and its one status; its progress lies beside it in chunks,
+// run/<id>/<n>. When the job is over and nothing of it can run any more, one
+// transaction replaces these by past/<id>. A reader that finds no job/<id>
+// reads past/<id> next, in this order, so that it can't miss both.
+const (
+	JobPrefix  = "job/"
+	RunPrefix  = "run/"
+	pastPrefix = "past/"
+	// LeadKey is held by the leader on its grant.
+	LeadKey = "lead"
+	// FlavorsKey keeps the machine types last seen, so that a node that
+	// starts while the cloud is down can still judge submissions.
+	FlavorsKey = "fact/flavors"
+	// SettingsKey holds the operators' own settings.
+	SettingsKey = "fact/settings"
+)
+
+// JobKey of a live job.
+func JobKey(id wire.JobID) string { return JobPrefix + string(id) }
+
+// PastKey of a job that is over.
+func PastKey(id wire.JobID) string { return pastPrefix + string(id) }
+
+// ChunkKey of a part of a job's progress.
+func ChunkKey(id wire.JobID, n int) string {
+	return RunPrefix + string(id) + "/" + strconv.Itoa(n)
+}
+
+// ParseChunkKey reverses ChunkKey.
+func ParseChunkKey(key string) (wire.JobID, int, bool) {
+	id, n, ok := strings.Cut(strings.TrimPrefix(key, RunPrefix), "/")
+	i, err := strconv.Atoi(n)
+	return wire.JobID(id), i, ok && err == nil && i >= 0 && wire.JobID(id).Valid()
+}
+
+// JobRecord is the value of job/<id>.
+type JobRecord struct {
+	Spec   wire.Spec   `cbor:"spec"`
+	Status wire.Status `cbor:"status"`
+	// At is when the job was accepted, Ended when it was cancelled.
+	At    wire.Stamp `cbor:"at"`
+	Ended wire.Stamp `cbor:"ended,omitempty"`
+}
+
+// PastRecord is the value of past/<id>.
+type PastRecord struct {
+	Status wire.Status `cbor:"status"`
+	Done   int         `cbor:"done"`
+}
+
+// LeadRecord is the value of the leader's key.
+type LeadRecord struct {
+	Node wire.NodeID `cbor:"node"`
+	// Nonce tells one life of a process from the next.
+	Nonce string `cbor:"nonce"`
+}
+
+// ChunkSize is the number of tasks of one chunk. A full chunk stays below
+// the smallest value limit: 256 entries of some 24 bytes.
+const ChunkSize = 256
+
+// Held is an attempt that may be on a machine.
+type Held struct {
+	_    struct{} `cbor:",toarray"`
+	Task int      // counted within the chunk
+	Try  wire.Attempt
+	On   wire.MachineID
+}
+
+// ChunkRecord is the progress of up to ChunkSize tasks.
+type ChunkRecord struct {
+	// Next is the next attempt's number; it only grows.
+	Next wire.Attempt `cbor:"n"`
+	// Done lists ranges of completed tasks: from, to (exclusive), from, …
+	Done []int `cbor:"d"`
+	// Held lists the attempts that may be on a machine.
+	Held []Held `cbor:"r"`
+}
+
+// Ranges packs flags as ranges: from, to (exclusive), from, to…
+func Ranges(flags []bool) []int {
+	var out []int
+	for i := 0; i < len(flags); i++ {
+		if !flags[i] {
+			continue
+		}
+		j := i
+		for j < len(flags) && flags[j] {
+			j++
+		}
+		out = append(out, i, j)
+		i = j
+	}
+	return out
+}
+
+// Unpack sets the flags of the ranges; what lies outside is ignored.
+func Unpack(ranges []int, flags []bool) {
+	for i := 0; i+1 < len(ranges); i += 2 {
+		for t := max(0, ranges[i]); t < min(ranges[i+1], len(flags)); t++ {
+			flags[t] = true
+		}
+	}
+}
+
+// Count is the number of tasks within the ranges.
+func Count(ranges []int) int {
+	n := 0
+	for i := 0; i+1 < len(ranges); i += 2 {
+		n += ranges[i+1] - ranges[i]
+	}
+	return n
+}
+
+// JSONSize estimates the size of a value in the form in which the service
+// counts it, from above.
+func (c *ChunkRecord) JSONSize() int {
+	n := 64 + 8*len(c.Done)
+	for _, h := range c.Held {
+		n += 34 + len(h.On)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,135 @@
+// Package tuning holds the operators' own settings: a small, documented and
+// validated set, kept in the state service and applied by every node without
+// a restart.
+package tuning
+
+import (
+	"fmt"
+	"math"
+	"sync/atomic"
+
+	"lilaclead/internal/wire"
+)
+
+// Values are the settings.
+type Values struct {
+	Preferred    float64 // utility factor of machines with the image
+	Fallback     float64 // utility factor of any other fitting machine
+	WaitRaiseS   float64 // waiting this long doubles a job's utility
+	RoundS       float64 // the longest time between rounds with waiting jobs
+	SpareUnits   float64 // room kept for the next replicas of services
+	KeepIdleS    float64 // how long a machine is kept with nothing to do
+	LogLevel     string  // error, info, debug; empty: as LOG_LEVEL says
+	StretchShare float64 // share of a deadline's slack that work may be stretched over
+}
+
+// Default values; docs/design.md says how they were found.
+func Default() Values {
+	return Values{Preferred: 1, Fallback: 0.5, WaitRaiseS: 60, RoundS: 1, SpareUnits: 3, KeepIdleS: 12, StretchShare: 0.6}
+}
+
+// Field describes one setting.
+type Field struct {
+	Name     string
+	About    string
+	Min, Max float64
+	Words    []string // the allowed words of a setting that is no number
+	num      func(*Values) *float64
+	word     func(*Values) *string
+}
+
+// Fields lists the settings.
+var Fields = []Field{
+	{Name: "utility.preferred", About: "factor of the branch over machines that hold the image", Min: 0.01, Max: 100, num: func(v *Values) *float64 { return &v.Preferred }},
+	{Name: "utility.fallback", About: "factor of the branch over any fitting machine", Min: 0.01, Max: 100, num: func(v *Values) *float64 { return &v.Fallback }},
+	{Name: "utility.wait_raise_s", About: "waiting this many seconds doubles a job's utility", Min: 1, Max: 86400, num: func(v *Values) *float64 { return &v.WaitRaiseS }},
+	{Name: "round.period_s", About: "longest time between rounds while jobs wait", Min: 0.2, Max: 30, num: func(v *Values) *float64 { return &v.RoundS }},
+	{Name: "services.spare_units", About: "room kept free for the next replicas of services, in replicas", Min: 0, Max: 1000, num: func(v *Values) *float64 { return &v.SpareUnits }},
+	{Name: "fleet.keep_idle_s", About: "seconds that a machine is kept with nothing to do", Min: 0, Max: 3600, num: func(v *Values) *float64 { return &v.KeepIdleS }},
+	{Name: "fleet.stretch_share", About: "share of a deadline's slack that an array's work may be stretched over", Min: 0.05, Max: 1, num: func(v *Values) *float64 { return &v.StretchShare }},
+	{Name: "log.level", About: "log level of all nodes; empty: as LOG_LEVEL says", Words: []string{"", "error", "info", "debug"}, word: func(v *Values) *string { return &v.LogLevel }},
+}
+
+// Range words what is allowed.
+func (f Field) Range() string {
+	if f.word != nil {
+		return fmt.Sprintf("one of %q", f.Words)
+	}
+	return fmt.Sprintf("%g to %g", f.Min, f.Max)
+}
+
+// Get reads the field from values.
+func (f Field) Get(v *Values) any {
+	if f.word != nil {
+		return *f.word(v)
+	}
+	return *f.num(v)
+}
+
+// Set checks and writes the field.
+func (f Field) Set(v *Values, to any) error {
+	bad := wire.FieldError{Field: f.Name, Reason: "must be " + f.Range()}
+	if f.word != nil {
+		s, ok := to.(string)
+		for _, w := range f.Words {
+			if ok && s == w {
+				*f.word(v) = s
+				return nil
+			}
+		}
+		return bad
+	}
+	var n float64
+	switch x := to.(type) {
+	case float64:
+		n = x
+	case uint64:
+		n = float64(x)
+	case int64:
+		n = float64(x)
+	default:
+		return bad
+	}
+	if math.IsNaN(n) || n < f.Min || n > f.Max {
+		return bad
+	}
+	*f.num(v) = n
+	return nil
+}
+
+// Apply sets what the map names, all or nothing. Unknown names are errors
+// when strict, and ignored otherwise: a newer node may have stored them.
+func Apply(base Values, m map[string]any, strict bool) (Values, error) {
+next:
+	for name, to := range m {
+		for _, f := range Fields {
+			if f.Name == name {
+				if err := f.Set(&base, to); err != nil {
+					return base, err
+				}
+				continue next
+			}
+		}
+		if strict {
+			return base, wire.FieldError{Field: name, Reason: "unknown setting"}
+		}
+	}
+	return base, nil
+}
+
+// Box shares the current values between the actors of a node.
+type Box struct{ p atomic.Pointer[Values] }
+
+// NewBox holds the default values.
+func NewBox() *Box {
+	b := &Box{}
+	v := Default()
+	b.p.Store(&v)
+	return b
+}
+
+// Get is the current values.
+func (b *Box) Get() Values { return *b.p.Load() }
+
+// Set replaces them.
+func (b *Box) Set(v Values) { b.p.Store(&v) }
--- /dev/null
+++ b/node.go
@@ -0,0 +1,248 @@
+// Package lilaclead is a cluster scheduler as a library: a Node is one
+// controller, which takes users' jobs, talks to workers, cloud and state
+// service, and, while it leads, decides what runs where.
+package lilaclead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"lilaclead/internal/admin"
+	"lilaclead/internal/cloud"
+	"lilaclead/internal/config"
+	"lilaclead/internal/intake"
+	"lilaclead/internal/leader"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/store"
+	"lilaclead/internal/tuning"
+	"lilaclead/internal/wire"
+)
+
+// Config of a node, as the platform's file gives it.
+type Config = config.Config
+
+// LoadConfig reads and checks a settings file.
+func LoadConfig(path string) (*Config, error) { return config.Load(path) }
+
+// Node is one controller.
+type Node struct {
+	cfg     *config.Config
+	log     *slog.Logger
+	level   *slog.LevelVar
+	base    slog.Level
+	store   *store.Client
+	cloud   *cloud.Client
+	mesh    *peer.Mesh
+	leader  *leader.Leader
+	intake  *intake.Intake
+	flavors *leader.FlavorBox
+	tuning  *tuning.Box
+	admin   *admin.Admin
+}
+
+// New makes a node; it does nothing until Run.
+func New(cfg *Config) (*Node, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	n := &Node{cfg: cfg, level: &slog.LevelVar{}, flavors: &leader.FlavorBox{}, tuning: tuning.NewBox()}
+	n.base = Level(os.Getenv("LOG_LEVEL"))
+	n.level.Set(n.base)
+	n.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: n.level})).With("node", cfg.HostName)
+	set := &cfg.Settings
+	n.store = store.New(cfg.Endpoints.State, set.State, set.Size)
+	n.cloud = cloud.New(cfg.Endpoints.Cloud, set.Cloud)
+	n.mesh = peer.New(cfg.HostName, cfg.Others, func() peer.Self {
+		return peer.Self{Leads: n.leader.Leads(), Serves: n.store.Reachable(), Hears: n.leader.Hears()}
+	}, n.log)
+	met := admin.NewMetrics()
+	n.store.Observe = met.Call("state")
+	n.cloud.Observe = met.Call("cloud")
+	n.leader = leader.New(leader.Deps{
+		Config: cfg, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: met.Leader(),
+	})
+	n.intake = intake.New(set, n.store, n.flavors.Get, n.log)
+	n.intake.Observe = met.Request
+	n.admin = admin.New(cfg, n.store, n.tuning, n.leader, n.mesh, met, n.log)
+	return n, nil
+}
+
+// Level reads a log level's name.
+func Level(name string) slog.Level {
+	switch strings.ToLower(name) {
+	case "debug":
+		return slog.LevelDebug
+	case "error":
+		return slog.LevelError
+	default:
+		return slog.LevelInfo
+	}
+}
+
+// Run serves until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	lim := n.cfg.Settings.Limits
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(lim.MemoryMB * 0.7 * (1 << 20)))
+	debug.SetGCPercent(200)
+
+	front, err := net.Listen("tcp4", n.cfg.Front)
+	if err != nil {
+		return fmt.Errorf("front: %w", err)
+	}
+	peers, err := net.Listen("tcp4", n.cfg.PeerBind)
+	if err != nil {
+		front.Close()
+		return fmt.Errorf("peer_bind: %w", err)
+	}
+	// Sockets are kept back for state service, cloud, peers and workers.
+	limited := newLimited(front, max(16, lim.FDLimit*6/10))
+	frontSrv := &http.Server{
+		Handler: n.frontRoutes(), ReadHeaderTimeout: 4 * time.Second, ReadTimeout: 8 * time.Second,
+		WriteTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	peerSrv := &http.Server{Handler: n.peerRoutes(), Protocols: &protocols, ReadHeaderTimeout: 4 * time.Second,
+		IdleTimeout: 60 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	go n.mesh.Run(ctx)
+	go n.leader.Run(ctx)
+	go n.learnFlavors(ctx)
+	go n.admin.Follow(ctx, func(v tuning.Values) {
+		n.level.Set(n.base)
+		if v.LogLevel != "" {
+			n.level.Set(Level(v.LogLevel))
+		}
+	})
+	errs := make(chan error, 2)
+	go func() { errs <- frontSrv.Serve(limited) }()
+	go func() { errs <- peerSrv.Serve(peers) }()
+	n.log.Info("serves", "front", n.cfg.Front, "peers", n.cfg.PeerBind)
+	select {
+	case err = <-errs:
+	case <-ctx.Done():
+		err = nil
+	}
+	cancel()
+	frontSrv.Close()
+	peerSrv.Close()
+	if errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	}
+	return err
+}
+
+func (n *Node) frontRoutes() http.Handler {
+	r := router()
+	n.intake.Routes(r)
+	r.POST("/hello", n.leader.Hello)
+	r.GET("/ready", n.ready)
+	return r
+}
+
+func (n *Node) peerRoutes() http.Handler {
+	r := router()
+	r.Handler("POST", "/peer/beats", n.mesh)
+	n.admin.Routes(r)
+	return r
+}
+
+func router() *httprouter.Router {
+	r := httprouter.New()
+	r.RedirectTrailingSlash, r.RedirectFixedPath, r.HandleOPTIONS = false, false, false
+	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		wire.Answer(w, http.StatusNotFound, wire.Reason{Error: "no such path"})
+	})
+	r.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		wire.Answer(w, http.StatusMethodNotAllowed, wire.Reason{Error: "method not allowed"})
+	})
+	return r
+}
+
+// ready fails only when this node can't serve and another says that it can:
+// in an outage that all share, every node stays ready and refuses fast.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if !n.store.Reachable() {
+		now := time.Now()
+		for _, o := range n.mesh.View().Others {
+			if o.Serves && now.Sub(o.Heard) < peer.X {
+				wire.Refuse(w, http.StatusServiceUnavailable, "state service not reachable from here", 1)
+				return
+			}
+		}
+	}
+	wire.Answer(w, http.StatusOK, struct {
+		Ready bool `cbor:"ready"`
+	}{true})
+}
+
+// learnFlavors finds the machine types, from the state service where an
+// earlier leader left them, or from the cloud.
+func (n *Node) learnFlavors(ctx context.Context) {
+	for n.flavors.Get() == nil {
+		var f wire.Flavors
+		e, err := n.store.Get(ctx, store.Duty, store.FlavorsKey)
+		if err == nil && wire.Decode(e.Value, &f) == nil && len(f.Kits) > 0 {
+			n.flavors.Set(f.Kits)
+			return
+		}
+		if errors.Is(err, store.ErrMissing) {
+			if fs, err := n.cloud.Flavors(ctx); err == nil {
+				n.flavors.Set(fs)
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+// limited bounds the open connections of a listener: the platform's limit
+// makes further accepts fail, and sockets to our own services come first.
+type limited struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func newLimited(l net.Listener, n int) *limited {
+	return &limited{Listener: l, slots: make(chan struct{}, n)}
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &slotConn{Conn: c, slots: l.slots}, nil
+}
+
+type slotConn struct {
+	net.Conn
+	slots chan struct{}
+	once  sync.Once
+}
+
+func (c *slotConn) Close() error {
+	c.once.Do(func() { <-c.slots })
+	return c.Conn.Close()
+}
