--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -264,7 +264,9 @@
 	}
 	life := t.set.Workers.LeaseS.Duration()
 	life += life/500 + 1500*time.Millisecond // two clocks of 0.05% each, and the step to a full second
-	last := m.answered
+	// Up to when it first showed our token an earlier leader may have answered
+	// it; from then on only we can have.
+	last := later(m.answered, m.tokenAt)
 	if m.baton < t.first {
 		// It may not have seen our token, so an earlier leader may have
 		// answered it: until X after a majority took our token, or B at most.
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -25,6 +25,7 @@
 	booting  bool // never reported, as far as we know
 	rentedAt time.Time
 	seenAt   time.Time // last message from it
+	tokenAt  time.Time // when it first showed a token of this term
 	answered time.Time // last answer to a report of it
 	usedAt   time.Time // last time that a task was on it
 	upAt     time.Time // first report in this term
@@ -102,6 +103,9 @@
 	}
 	m.addr, m.kit, m.zone, m.spot = rep.Addr, rep.Kit, rep.Site, rep.Standby
 	m.shift, m.tally, m.seenAt, m.booting, m.probes = rep.Shift, rep.Tally, now, false, 0
+	if m.baton < t.first && rep.Baton >= t.first {
+		m.tokenAt = now
+	}
 	m.baton = max(m.baton, rep.Baton)
 	if rep.WarningS != nil {
 		at := now.Add(rep.WarningS.Duration())
