--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -293,9 +293,10 @@
 	t.recovered = true
 	t.log().Info("recovered", "jobs", len(t.jobs), "machines", len(t.machines), "took", time.Since(t.born))
 	for _, j := range t.jobs {
-		if j.done == j.spec.Parts || j.cancelled && j.held == 0 {
-			j.over = true
+		if j.cancelled {
+			t.chase(j)
 		}
+		t.checkOver(j)
 	}
 	for _, rep := range t.early {
 		t.apply(t.machine(rep.Host), &rep, true, time.Now())
@@ -323,15 +324,24 @@
 	j.stamp, j.stale = stamp, false
 	if rec.Status == wire.Cancelled && !j.cancelled {
 		j.cancelled = true
-		j.cancelAt = time.Now()
-		t.log().Info("cancels", "job", j.spec.ID, "held", j.held)
-		for _, a := range j.attempts() {
-			t.halt(a, 0, "cancelled")
+		j.cancelAt = time.Now().Add(-max(0, time.Since(rec.Ended.Time())))
+		if t.recovered {
+			t.chase(j)
 		}
-		t.checkOver(j)
 	}
 }
 
+// chase stops what is left of a cancelled job. A job that is read during
+// recovery is chased only once its attempts have been read too: before, it
+// looks as if nothing of it were left.
+func (t *term) chase(j *job) {
+	t.log().Info("cancels", "job", j.spec.ID, "held", j.held)
+	for _, a := range j.attempts() {
+		t.halt(a, 0, "cancelled")
+	}
+	t.checkOver(j)
+}
+
 // checkOver notes that a job can be archived.
 func (t *term) checkOver(j *job) {
 	if j.cancelled && j.held == 0 || j.done == j.spec.Parts {
