--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -58,6 +58,7 @@
 		c.next++
 		c.dirty = true
 		c.hold(a)
+		t.log().Debug("starts", "task", a.task(), "try", a.try, "machine", m.id, "waited", now.Sub(j.at))
 	})
 }
 
