Cordon wasteful machines; count on room that frees in time

Cause: arrays held dear machines half empty for minutes, and each burst was rented for as if nothing would end.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,16 @@
 	Price float64
 	// Services on it.
 	Services int
+	// Soon is room that tasks of arrays there are expected to free.
+	Soon []Soon
+	// Unit is the largest task of an array there.
+	Unit placement.Res
+}
+
+// Soon is room that is expected to be free in a while.
+type Soon struct {
+	InS  float64
+	Room placement.Res
 }
 
 // Demand is a number of equal units that should run at the same time.
@@ -54,6 +64,8 @@
 	Rank float64
 	// ZoneLeft is how many units each zone may still take; nil: any number.
 	ZoneLeft map[wire.Zone]int
+	// SlackS is how long the units may wait for room and still be in time.
+	SlackS float64
 }
 
 // Snapshot is all that a plan looks at.
@@ -80,6 +92,9 @@
 type Plan struct {
 	Rents    []Rent
 	Releases []wire.MachineID
+	// Cordons are machines that should take tasks only when no other can:
+	// what runs there would fit on the others, so that they can be returned.
+	Cordons []wire.MachineID
 }
 
 type bin struct {
@@ -92,6 +107,7 @@
 	idle     bool
 	used     bool
 	price    float64
+	soon     []Soon
 }
 
 func (b *bin) allowed(s *wire.Spec) bool {
@@ -105,7 +121,7 @@
 func Make(s *Snapshot) Plan {
 	bins := make([]bin, len(s.Machines))
 	for i, m := range s.Machines {
-		bins[i] = bin{m.Kit, m.Zone, m.Spot, m.Free, m.Total, m.Services > 0, m.Idle, !m.Idle && !m.Booting, m.Price}
+		bins[i] = bin{m.Kit, m.Zone, m.Spot, m.Free, m.Total, m.Services > 0, m.Idle, !m.Idle && !m.Booting, m.Price, slices.Clone(m.Soon)}
 	}
 	offers := slices.Clone(s.Offers)
 	demands := slices.Clone(s.Demands)
@@ -172,6 +188,9 @@
 			}
 			settle(&bins[i])
 		}
+		if !d.Spec.Service() {
+			left -= waitFor(bins, order, d, take, left)
+		}
 		for left > 0 && len(wants) < s.MaxRents {
 			best, bestCost := -1, 0.0
 			for i := range offers {
@@ -214,9 +233,87 @@
 			plan.Releases = append(plan.Releases, m.ID)
 		}
 	}
+	if len(plan.Rents) == 0 {
+		plan.Cordons = cordon(s, bins)
+	}
 	return plan
 }
 
+// waitFor counts the units that room which running tasks will free in time
+// can take, and takes it.
+func waitFor(bins []bin, order []int, d *Demand, take placement.Res, left int) int {
+	got := 0
+	for _, i := range order {
+		b := &bins[i]
+		if !b.allowed(d.Spec) {
+			continue
+		}
+		// Neighbouring tasks of a machine may have to end together to make
+		// room for a larger one.
+		var sum placement.Res
+		kept := b.soon[:0]
+		for _, f := range b.soon {
+			if f.InS > d.SlackS || got == left {
+				kept = append(kept, f)
+				continue
+			}
+			sum = sum.Plus(f.Room)
+			if n := min(left-got, take.Units(sum)); n > 0 {
+				got += n
+				sum = placement.Res{}
+			}
+		}
+		b.soon = kept
+	}
+	return got
+}
+
+// cordon picks machines whose load fits on the others, the most wasteful
+// first.
+func cordon(s *Snapshot, bins []bin) []wire.MachineID {
+	type candidate struct {
+		i     int
+		waste float64
+	}
+	var cands []candidate
+	units := func(i int, unit placement.Res) int { return unit.Units(bins[i].free) }
+	for i, m := range s.Machines {
+		if m.Booting || m.Services > 0 || m.Unit.CPUs <= 0 || m.Idle {
+			continue
+		}
+		share := 1 - max(0, bins[i].free.CPUs)/max(1, m.Total.CPUs)
+		if share < 0.6 {
+			cands = append(cands, candidate{i, m.Price * (1 - share)})
+		}
+	}
+	slices.SortStableFunc(cands, func(a, b candidate) int { return cmp.Compare(b.waste, a.waste) })
+	out := map[int]bool{}
+	var ids []wire.MachineID
+	taken := 0
+	for _, c := range cands {
+		m := &s.Machines[c.i]
+		need := 0
+		load := m.Total.Minus(bins[c.i].free)
+		need = int(max(load.CPUs/m.Unit.CPUs, load.RAM/max(0.001, m.Unit.RAM)) + 0.999)
+		room := 0
+		for i := range s.Machines {
+			if i == c.i || out[i] || s.Machines[i].Booting || s.Machines[i].Idle && !bins[i].used {
+				continue
+			}
+			if s.Machines[i].Services > 0 && !s.Machines[i].Spot && bins[i].services && s.Machines[i].Unit.CPUs == 0 {
+				continue // a services' machine is no place for arrays
+			}
+			room += units(i, m.Unit)
+		}
+		if room-taken > need {
+			taken += need
+			out[c.i] = true
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
 func inZone(bins []bin, z wire.Zone) int {
 	n := 0
 	for i := range bins {
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -377,8 +377,19 @@
 		for _, a := range m.tasks {
 			if a.job.spec.Service() {
 				fm.Services++
+				continue
+			}
+			in := a.job.expected()
+			if !a.runAt.IsZero() {
+				in -= now.Sub(a.runAt).Seconds()
+			}
+			res := a.res()
+			fm.Soon = append(fm.Soon, fleet.Soon{InS: max(in, 1), Room: res})
+			if res.CPUs > fm.Unit.CPUs {
+				fm.Unit = res
 			}
 		}
+		slices.SortFunc(fm.Soon, func(a, b fleet.Soon) int { return cmp.Compare(a.InS, b.InS) })
 		if !m.booting && len(m.tasks) == 0 && len(m.strays) == 0 {
 			fm.Idle, fm.IdleS = true, now.Sub(later(m.usedAt, m.upAt)).Seconds()
 		}
@@ -400,6 +411,9 @@
 	for _, r := range plan.Rents {
 		t.rent(r)
 	}
+	for _, m := range order {
+		m.cordoned = slices.Contains(plan.Cordons, m.id)
+	}
 	for _, id := range plan.Releases {
 		if m := t.machines[id]; m != nil && len(m.tasks) == 0 {
 			t.release(m, "idle")
@@ -473,7 +487,7 @@
 			continue
 		}
 		used[j.spec.Owner] = used[j.spec.Owner].Plus(take.Times(float64(units)))
-		d := fleet.Demand{Spec: &j.spec, Units: units, Rank: float64(j.spec.Urgency.Rank())}
+		d := fleet.Demand{Spec: &j.spec, Units: units, Rank: float64(j.spec.Urgency.Rank()), SlackS: t.slack(j, now) * stretch}
 		if j.spec.Service() {
 			d.Rank += 10
 		}
@@ -499,14 +513,31 @@
 	return out
 }
 
+// due is when the job should be complete, counted from its submission: what
+// its owner says, else what the users' aims say of its class, else a few times
+// its expected run time.
+func (t *term) due(j *job) float64 {
+	if j.spec.Due > 0 {
+		return float64(j.spec.Due)
+	}
+	for _, o := range t.set.Objectives {
+		if o.Kind == "finished" && o.Class == j.spec.Lane && o.WithinS > 0 {
+			return float64(o.WithinS)
+		}
+	}
+	return 3*j.expected() + 30
+}
+
+// slack is how long the job's waiting tasks may still wait.
+func (t *term) slack(j *job, now time.Time) float64 {
+	return t.due(j) - now.Sub(j.at).Seconds() - j.expected()
+}
+
 // parallel is how many of a job's waiting tasks should run at a time.
 func (t *term) parallel(j *job, now time.Time, stretch float64) int {
 	n := j.pending()
 	est := max(1, j.expected())
-	window := 1.5 * est
-	if j.spec.Due > 0 {
-		window = (j.spec.Due.Duration() - now.Sub(j.at)).Seconds() * stretch
-	}
+	window := (t.due(j) - now.Sub(j.at).Seconds()) * stretch
 	rounds := max(1, int(window/est))
 	return (n + rounds - 1) / rounds
 }
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -43,6 +43,7 @@
 	probing   bool
 	drain     string // why it takes nothing new; empty: it does
 	releasing bool
+	cordoned  bool // see fleet.Plan
 	fullUntil time.Time
 	errs      map[wire.JobID]bool // jobs that failed here in a row
 	errCount  int
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -92,10 +92,9 @@
 	if guaranteed {
 		w *= 3
 	}
-	if j.spec.Due > 0 {
-		left := j.spec.Due.Duration().Seconds() - now.Sub(j.at).Seconds()
+	if !j.spec.Service() {
 		need := j.expected()
-		switch slack := left - need; {
+		switch slack := t.slack(j, now); {
 		case slack < -need/2:
 			w *= 0.5 // late whatever we do
 		case slack < need/2:
@@ -152,7 +151,7 @@
 		return u != nil && (u.Used.CPUs > team.CPUs+wire.Eps || u.Used.Cards > team.GPUs+wire.Eps)
 	}
 	for _, m := range ms {
-		pm := placement.Machine{ID: m.id, Kit: m.kit, Zone: m.zone, Spot: m.spot, Total: t.total(m), Free: t.free(m),
+		pm := placement.Machine{ID: m.id, Kit: m.kit, Zone: m.zone, Spot: m.spot, Total: t.total(m), Free: t.free(m), Cordoned: m.cordoned,
 			Images: make(map[wire.ImageID]placement.Image, len(m.images.has)+len(m.tasks))}
 		if f := t.flavor(m.kit); f != nil {
 			pm.PullRate = f.PullGBPerS
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -87,7 +87,8 @@
 	Services int // tasks of services there
 	Images   map[wire.ImageID]Image
 	Victims  []Victim
-	kept     int // units of spare room kept here in this round
+	Cordoned bool // takes tasks of arrays only when no other machine can
+	kept     int  // units of spare room kept here in this round
 }
 
 // Job with tasks that wait.
@@ -286,7 +287,10 @@
 			class = withImage
 		}
 		score := fit(j, m, take)
-		if best < 0 || class < bestClass || class == bestClass && score > bestScore {
+		if m.Cordoned && !j.Spec.Service() {
+			score -= 100
+		}
+		if best < 0 || score-bestScore > 50 || score-bestScore > -50 && (class < bestClass || class == bestClass && score > bestScore) {
 			best, bestScore, bestClass = mi, score, class
 		}
 	}
