--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -94,6 +95,10 @@
 	}
 	if !j.spec.Service() {
 		need := j.expected()
+		// The job is worth something only when all of it is done: a unit of
+		// a job with little left brings more.
+		work := float64(j.spec.Parts-j.done) * j.spec.CPUs * max(1, need)
+		w *= math.Pow(1000/(work+50), 1)
 		switch slack := t.slack(j, now); {
 		case slack < -need/2:
 			w *= 0.5 // late whatever we do
