--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,12 @@
 	Demands  []Demand
 	// KeepIdleS is how long a machine is kept with nothing to do.
 	KeepIdleS float64
+	// DearLimit is how many times the cheapest price that the types have for
+	// a unit may be paid for a unit of an array.
+	DearLimit float64
+	// Cheapest is the lowest nominal price of a unit's worth of any type,
+	// spot or not as the job allows; nil: no limit.
+	Cheapest func(*wire.Spec) float64
 	// MaxRents bounds the machines rented by one plan.
 	MaxRents int
 }
@@ -208,6 +214,9 @@
 					best, bestCost = i, cost
 				}
 			}
+			if best >= 0 && !d.Spec.Service() && s.Cheapest != nil && bestCost > s.DearLimit*s.Cheapest(d.Spec) {
+				break // it is better late than at that price
+			}
 			if best < 0 {
 				break
 			}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -352,7 +353,8 @@
 	// What an earlier leader rented last is not listed yet.
 	lag := t.set.Cloud.ListLagS.Duration()
 	v := t.l.Tuning.Get()
-	s := &fleet.Snapshot{KeepIdleS: v.KeepIdleS, MaxRents: 16}
+	s := &fleet.Snapshot{KeepIdleS: v.KeepIdleS, MaxRents: 16, DearLimit: v.DearLimit,
+		Cheapest: func(spec *wire.Spec) float64 { return cheapest(flavors, spec) }}
 	var order []*machine
 	for _, m := range t.machines {
 		if m.releasing || m.drain != "" || m.kit == "" {
@@ -440,6 +442,23 @@
 	return out
 }
 
+// cheapest is the lowest price of room for one task of the job.
+func cheapest(flavors []wire.Flavor, s *wire.Spec) float64 {
+	best := math.Inf(1)
+	for i := range flavors {
+		f := &flavors[i]
+		if !f.Fits(s) {
+			continue
+		}
+		n := placement.Of(s).Units(placement.Res{CPUs: f.CPUs, Cards: f.Cards, RAM: f.RAM})
+		best = min(best, f.Rate/float64(n))
+		if s.Standby {
+			best = min(best, f.LowPrice/float64(n))
+		}
+	}
+	return best
+}
+
 func (t *term) booked(o offerID) bool {
 	for _, b := range t.fleet.bookings {
 		if (offerID{b.Kit, b.Site, b.Standby}) == o {
