--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -360,7 +360,9 @@
 	var halts []Victim
 	waiting := make([]int, 0)
 	for i := range s.Jobs {
-		if s.Jobs[i].Pending > 0 && s.Jobs[i].Spec.Urgency.Rank() > 0 {
+		// Arrays of everyday priority wait for room: a stopped array's work is
+		// mostly repeated, and what makes room for one delays another.
+		if j := &s.Jobs[i]; j.Pending > 0 && (j.Spec.Service() || j.Spec.Urgency.Rank() >= wire.Urgent.Rank()) {
 			waiting = append(waiting, i)
 		}
 	}
