--- a/cmd/lilaclead/main.go
+++ b/cmd/lilaclead/main.go
@@ -64,7 +64,8 @@
 	if err != nil {
 		return err
 	}
-	n, err := lilaclead.New(cfg)
+	lilaclead.LimitProcess(cfg)
+	n, err := lilaclead.New(cfg, lilaclead.Options{})
 	if err != nil {
 		return err
 	}
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"lilaclead/internal/config"
+	"lilaclead/internal/netio"
 	"lilaclead/internal/wire"
 )
 
@@ -44,13 +45,11 @@
 
 // New makes a client. Only a leader makes more than a call a minute, so a
 // node may use most of the budget.
-func New(addr string, s config.Cloud) *Client {
+func New(addr string, s config.Cloud, nw netio.Net) *Client {
 	own := max(0.5, s.RPS*0.75)
 	return &Client{
-		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{
-			MaxConnsPerHost: 4, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-		}},
+		base:    "http://" + addr,
+		http:    &http.Client{Transport: nw.Transport(4, 4)},
 		budget:  rate.NewLimiter(rate.Limit(own), max(1, int(own))),
 		Observe: func(string, string, time.Duration) {},
 	}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lilaclead/internal/placement"
+	"lilaclead/internal/wire"
+)
+
+// The same cases every time.
+func init() { flag.Set("rapid.seed", "20261201") } //nolint:errcheck // rapid defines the flag
+
+var types = map[wire.Kit]placement.Res{"c4": {CPUs: 4, RAM: 16}, "c16": {CPUs: 16, RAM: 64}}
+
+func snapshots(t *rapid.T) *Snapshot {
+	s := &Snapshot{KeepIdleS: 10, MaxRents: 8, DearLimit: 3, Cheapest: func(*wire.Spec) float64 { return 0.02 }}
+	kit := func() wire.Kit { return rapid.SampledFrom([]wire.Kit{"c4", "c16"}).Draw(t, "kit") }
+	zone := func() wire.Zone { return rapid.SampledFrom([]wire.Zone{"a", "b"}).Draw(t, "zone") }
+	for i := range rapid.IntRange(0, 5).Draw(t, "machines") {
+		k := kit()
+		m := Machine{ID: wire.MachineID(fmt.Sprint("n-", i)), Kit: k, Zone: zone(), Spot: rapid.Bool().Draw(t, "spot"), Total: types[k], Free: types[k], Price: 0.3}
+		switch rapid.IntRange(0, 2).Draw(t, "what") {
+		case 0:
+			m.Booting = true
+		case 1:
+			m.Idle, m.IdleS, m.PaidS = true, float64(rapid.IntRange(0, 30).Draw(t, "idle")), float64(rapid.IntRange(-20, 20).Draw(t, "paid"))
+		default:
+			used := placement.Res{CPUs: float64(rapid.IntRange(1, 4).Draw(t, "used")), RAM: 4}
+			m.Free, m.Unit = m.Free.Minus(used), used
+			m.Soon = []Soon{{InS: float64(rapid.IntRange(1, 40).Draw(t, "in")), Room: used}}
+		}
+		s.Machines = append(s.Machines, m)
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "offers") {
+		k := kit()
+		s.Offers = append(s.Offers, Offer{Kit: k, Zone: zone(), Spot: rapid.Bool().Draw(t, "spot"), Total: types[k],
+			Price: float64(rapid.IntRange(1, 90).Draw(t, "price")) / 100, PullRate: 1, Room: rapid.IntRange(0, 4).Draw(t, "room")})
+	}
+	for i := range rapid.IntRange(0, 4).Draw(t, "demands") {
+		shape := rapid.SampledFrom([]wire.Shape{wire.Sweep, wire.Daemon}).Draw(t, "shape")
+		s.Demands = append(s.Demands, Demand{Units: rapid.IntRange(1, 20).Draw(t, "units"), Rank: float64(i % 2), SlackS: float64(rapid.IntRange(-10, 60).Draw(t, "slack")),
+			Spec: &wire.Spec{ID: wire.JobID(fmt.Sprint("req-", i)), Shape: shape, CPUs: float64(rapid.IntRange(1, 5).Draw(t, "cpus")), RAM: 4,
+				Standby: rapid.Bool().Draw(t, "standby"), ImageGB: 1}})
+	}
+	return s
+}
+
+// What must hold of every plan, whatever the demand.
+func TestPlanInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := snapshots(t)
+		plan := Make(s)
+		room := map[string]int{}
+		for _, o := range s.Offers {
+			room[fmt.Sprint(o.Kit, o.Zone, o.Spot)] += o.Room
+		}
+		spotless := true
+		total := 0
+		for _, d := range s.Demands {
+			spotless = spotless && !d.Spec.Standby
+		}
+		for _, r := range plan.Rents {
+			total += r.Count
+			if r.Count > room[fmt.Sprint(r.Kit, r.Zone, r.Spot)] {
+				t.Fatalf("rents more than is offered: %+v", r)
+			}
+			if r.Spot && spotless {
+				t.Fatalf("rents spot for jobs that don't allow it: %+v", r)
+			}
+		}
+		if total > s.MaxRents || len(s.Demands) == 0 && total > 0 {
+			t.Fatalf("rents %d machines", total)
+		}
+		by := map[wire.MachineID]Machine{}
+		for _, m := range s.Machines {
+			by[m.ID] = m
+		}
+		for _, id := range plan.Releases {
+			if m := by[id]; !m.Idle || m.Booting || m.IdleS < s.KeepIdleS || m.PaidS > 0 {
+				t.Fatalf("releases %+v", m)
+			}
+		}
+		for _, id := range plan.Cordons {
+			if m := by[id]; m.Services > 0 || m.Booting || m.Idle {
+				t.Fatalf("cordons %+v", m)
+			}
+		}
+	})
+}
+
+// Demand that the room there is takes rents nothing, and an idle machine
+// that no demand needs is returned once it is paid up.
+func TestRoomFirst(t *testing.T) {
+	spec := &wire.Spec{Shape: wire.Sweep, CPUs: 2, RAM: 4}
+	m := Machine{ID: "n", Kit: "c4", Zone: "a", Total: types["c4"], Free: types["c4"], Idle: true, IdleS: 20}
+	o := Offer{Kit: "c4", Zone: "a", Total: types["c4"], Price: 0.3, PullRate: 1, Room: 9}
+	plan := Make(&Snapshot{Machines: []Machine{m}, Offers: []Offer{o}, Demands: []Demand{{Spec: spec, Units: 2}}, KeepIdleS: 10, MaxRents: 9})
+	if len(plan.Rents) != 0 || len(plan.Releases) != 0 {
+		t.Fatalf("plan %+v", plan)
+	}
+	plan = Make(&Snapshot{Machines: []Machine{m}, Offers: []Offer{o}, Demands: []Demand{{Spec: spec, Units: 5}}, KeepIdleS: 10, MaxRents: 9})
+	if len(plan.Rents) != 1 || plan.Rents[0].Count != 2 {
+		t.Fatalf("plan %+v", plan)
+	}
+	plan = Make(&Snapshot{Machines: []Machine{m}, KeepIdleS: 10})
+	if len(plan.Releases) != 1 {
+		t.Fatalf("plan %+v", plan)
+	}
+}
+
+// An array doesn't rent at a price at which it is better late; a service
+// does. (Bursts once rented the largest type for a few tasks.)
+func TestDearLimit(t *testing.T) {
+	o := Offer{Kit: "c16", Zone: "a", Total: types["c16"], Price: 4, PullRate: 1, Room: 1}
+	for shape, want := range map[wire.Shape]int{wire.Sweep: 0, wire.Daemon: 1} {
+		plan := Make(&Snapshot{Offers: []Offer{o}, Demands: []Demand{{Spec: &wire.Spec{Shape: shape, CPUs: 2, RAM: 4}, Units: 1}},
+			MaxRents: 9, DearLimit: 3, Cheapest: func(*wire.Spec) float64 { return 0.05 }})
+		if len(plan.Rents) != want {
+			t.Errorf("%s rents %v", shape, plan.Rents)
+		}
+	}
+}
+
+// Room that frees in time spares a rental; room that frees too late doesn't.
+func TestRoomThatFrees(t *testing.T) {
+	m := Machine{ID: "n", Kit: "c4", Zone: "a", Total: types["c4"], Soon: []Soon{{InS: 10, Room: types["c4"]}}, Unit: types["c4"]}
+	o := Offer{Kit: "c4", Zone: "a", Total: types["c4"], Price: 0.1, PullRate: 1, Room: 9}
+	for slack, want := range map[float64]int{15: 0, 5: 1} {
+		plan := Make(&Snapshot{Machines: []Machine{m}, Offers: []Offer{o}, Demands: []Demand{{Spec: &wire.Spec{Shape: wire.Sweep, CPUs: 4, RAM: 4}, Units: 1, SlackS: slack}}, MaxRents: 9})
+		if len(plan.Rents) != want {
+			t.Errorf("slack %g: rents %v", slack, plan.Rents)
+		}
+	}
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 
 	"lilaclead/internal/cloud"
 	"lilaclead/internal/config"
+	"lilaclead/internal/netio"
 	"lilaclead/internal/peer"
 	"lilaclead/internal/store"
 	"lilaclead/internal/tuning"
@@ -24,6 +24,7 @@
 // Deps is what the leader works with.
 type Deps struct {
 	Config  *config.Config
+	Net     netio.Net
 	Store   *store.Client
 	Cloud   *cloud.Client
 	Mesh    *peer.Mesh
@@ -78,14 +79,9 @@
 		Deps:   d,
 		nonce:  rand.Text(),
 		turned: make(chan wire.MachineID, 64),
-		direct: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-			MaxConnsPerHost:     2,
-			MaxIdleConnsPerHost: 1,
-			MaxIdleConns:        max(16, d.Config.Settings.Limits.FDLimit/8),
-			IdleConnTimeout:     20 * time.Second,
-			DisableCompression:  true,
-		}},
+		// A connection to every machine of a usual cluster, and no more than
+		// a share of the sockets.
+		direct: &http.Client{Transport: d.Net.Transport(2, max(16, d.Config.Settings.Limits.FDLimit/8))},
 	}
 }
 
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"lilaclead/internal/config"
+	"lilaclead/internal/netio"
 	"lilaclead/internal/wire"
 )
 
@@ -96,15 +97,16 @@
 }
 
 // New makes a mesh; self is asked before each beat.
-func New(name wire.NodeID, others []config.Other, self func() Self, log *slog.Logger) *Mesh {
+func New(name wire.NodeID, others []config.Other, self func() Self, nw netio.Net, log *slog.Logger) *Mesh {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	m := &Mesh{
 		name: name, others: others, self: self, log: log,
 		events: make(chan event, 16), raise: make(chan wire.Token, 4), born: time.Now(),
 		client: &http.Client{Transport: &http.Transport{
-			Protocols: &protocols,
-			HTTP2:     &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: 2 * time.Second},
+			Protocols:   &protocols,
+			DialContext: nw.Dial,
+			HTTP2:       &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: 2 * time.Second},
 		}},
 	}
 	m.view.Store(&View{})
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,249 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lilaclead/internal/utility"
+	"lilaclead/internal/wire"
+)
+
+// The same cases every time.
+func init() { flag.Set("rapid.seed", "20261201") } //nolint:errcheck // rapid defines the flag
+
+// slow is the plain model, straight from the design's text: again and again
+// it evaluates the tree of every waiting job for one more unit on every
+// machine, over plain lists, and takes the largest gain. It returns each
+// step's gain; among equals the real pass may choose freely.
+func slow(s *Snapshot) (gains []float64, starts map[int]int) {
+	starts = map[int]int{}
+	left := make([]int, len(s.Jobs))
+	for i := range s.Jobs {
+		left[i] = s.Jobs[i].Pending
+	}
+	for {
+		best, bj, bm := 0.0, -1, -1
+		for ji := range s.Jobs {
+			for mi := range s.Machines {
+				if left[ji] == 0 || !legal(s, ji, mi) {
+					continue
+				}
+				j, m := &s.Jobs[ji], &s.Machines[mi]
+				class := without
+				if m.Images[j.Spec.Bundle] == Present {
+					class = withImage
+				}
+				u := Unit(s.Factors).Value(utility.Grant{class: 1})
+				if g := u * j.Weight * (1 + j.WaitedS/max(1, s.Factors.WaitRaiseS)); g > best+1e-12 {
+					best, bj, bm = g, ji, mi
+				}
+			}
+		}
+		if bj < 0 {
+			return
+		}
+		apply(s, bj, bm)
+		left[bj]--
+		starts[bj]++
+		gains = append(gains, best)
+	}
+}
+
+// legal is the page's hard checks, written out once more.
+func legal(s *Snapshot, ji, mi int) bool {
+	j, m := &s.Jobs[ji], &s.Machines[mi]
+	sp := j.Spec
+	team := s.Teams[sp.Owner]
+	if team.Limit.CPUs > 0 && team.Used.CPUs+sp.CPUs > team.Limit.CPUs+wire.Eps {
+		return false
+	}
+	if sp.CPUs > m.Free.CPUs+wire.Eps || sp.Cards > m.Free.Cards+wire.Eps || sp.RAM > m.Free.RAM+wire.Eps {
+		return false
+	}
+	if m.Spot && !sp.Standby || sp.Site != "" && sp.Site != m.Zone || sp.Kits != nil && !slices.Contains(sp.Kits, m.Kit) {
+		return false
+	}
+	if sp.Apart && j.ZoneHeld[m.Zone]+1 > (sp.Parts+1)/2 {
+		return false
+	}
+	if sp.SamePlace {
+		for z, n := range j.ZoneHeld {
+			if z != m.Zone && n > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func apply(s *Snapshot, ji, mi int) {
+	j, m := &s.Jobs[ji], &s.Machines[mi]
+	m.Free = m.Free.Minus(Of(j.Spec))
+	s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(Of(j.Spec))
+	j.ZoneHeld[m.Zone]++
+}
+
+func clone(s *Snapshot) *Snapshot {
+	c := *s
+	c.Machines = slices.Clone(s.Machines)
+	for i := range c.Machines {
+		c.Machines[i].Images = maps.Clone(s.Machines[i].Images)
+		c.Machines[i].Victims = slices.Clone(s.Machines[i].Victims)
+	}
+	c.Jobs = slices.Clone(s.Jobs)
+	for i := range c.Jobs {
+		c.Jobs[i].ZoneHeld = maps.Clone(s.Jobs[i].ZoneHeld)
+	}
+	c.Teams = map[wire.TeamID]*Team{}
+	for k, v := range s.Teams {
+		t := *v
+		c.Teams[k] = &t
+	}
+	return &c
+}
+
+func snapshots(t *rapid.T) *Snapshot {
+	zones := []wire.Zone{"a", "b"}
+	s := &Snapshot{
+		Teams: map[wire.TeamID]*Team{
+			"red":  {Limit: Res{CPUs: float64(rapid.IntRange(0, 24).Draw(t, "limit"))}},
+			"blue": {},
+		},
+		Factors: Factors{Preferred: 1, Fallback: 0.5, WaitRaiseS: 60},
+	}
+	for i := range rapid.IntRange(0, 6).Draw(t, "machines") {
+		cpus := float64(rapid.SampledFrom([]int{4, 16}).Draw(t, "cpus"))
+		used := float64(rapid.IntRange(0, 4).Draw(t, "used"))
+		s.Machines = append(s.Machines, Machine{
+			ID: wire.MachineID(fmt.Sprint("n-", i)), Kit: wire.Kit(fmt.Sprint("c", cpus)), Zone: rapid.SampledFrom(zones).Draw(t, "zone"),
+			Spot: rapid.Bool().Draw(t, "spot"), Total: Res{CPUs: cpus, RAM: cpus * 4}, Free: Res{CPUs: cpus - used, RAM: cpus*4 - used},
+			PullRate: 1, Images: map[wire.ImageID]Image{wire.ImageID(fmt.Sprint("img-", i%2)): Image(rapid.IntRange(0, 2).Draw(t, "image"))},
+		})
+	}
+	for i := range rapid.IntRange(0, 5).Draw(t, "jobs") {
+		parts := rapid.IntRange(1, 7).Draw(t, "parts")
+		sp := &wire.Spec{ID: wire.JobID(fmt.Sprint("req-", i)), Owner: rapid.SampledFrom([]wire.TeamID{"red", "blue"}).Draw(t, "team"),
+			Shape: rapid.SampledFrom([]wire.Shape{wire.Sweep, wire.Daemon}).Draw(t, "shape"), Urgency: wire.Standard, Parts: parts,
+			CPUs: float64(rapid.IntRange(1, 5).Draw(t, "take")), RAM: float64(rapid.IntRange(1, 9).Draw(t, "ram")), Bundle: wire.ImageID(fmt.Sprint("img-", i%3)), ImageGB: 1,
+			Apart: rapid.Bool().Draw(t, "apart"), SamePlace: rapid.IntRange(0, 3).Draw(t, "same") == 0, Standby: rapid.Bool().Draw(t, "standby")}
+		if rapid.IntRange(0, 3).Draw(t, "sited") == 0 {
+			sp.Site = "a"
+		}
+		if rapid.IntRange(0, 3).Draw(t, "typed") == 0 {
+			sp.Kits = []wire.Kit{"c16"}
+		}
+		held := map[wire.Zone]int{}
+		if !sp.SamePlace && parts > 1 {
+			held["b"] = rapid.IntRange(0, 1).Draw(t, "held")
+		}
+		// Weights differ by job, so that the order of jobs is decided.
+		s.Jobs = append(s.Jobs, Job{Spec: sp, Pending: parts - held["b"], Held: held["b"], ZoneHeld: held,
+			WaitedS: float64(rapid.IntRange(0, 90).Draw(t, "waited")), Weight: 1 + 0.137*float64(i)})
+	}
+	return s
+}
+
+// Every launch of the real pass is legal when it is made, each step gains as
+// much as the best that the slow model finds in the same position, and the
+// pass stops only when nothing legal is left.
+func TestPassAgainstSlowModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := snapshots(t)
+		model := clone(s)
+		pending := make([]int, len(s.Jobs))
+		for i := range s.Jobs {
+			pending[i] = s.Jobs[i].Pending
+		}
+		res := Place(clone(s))
+		for n, st := range res.Starts {
+			if !legal(model, st.Job, st.Machine) {
+				t.Fatalf("start %d is not legal: %+v", n, st)
+			}
+			here := clone(model)
+			for i := range here.Jobs {
+				here.Jobs[i].Pending = pending[i]
+			}
+			gains, _ := slow(here)
+			j, m := &model.Jobs[st.Job], &model.Machines[st.Machine]
+			u := s.Factors.Fallback
+			if m.Images[j.Spec.Bundle] == Present {
+				u = s.Factors.Preferred
+			}
+			if got := u * j.Weight * (1 + j.WaitedS/s.Factors.WaitRaiseS); got < gains[0]-1e-9 {
+				t.Fatalf("start %d gains %g, the best is %g", n, got, gains[0])
+			}
+			apply(model, st.Job, st.Machine)
+			if pending[st.Job]--; pending[st.Job] < 0 {
+				t.Fatalf("job %d was started too often", st.Job)
+			}
+		}
+		for i := range model.Jobs {
+			model.Jobs[i].Pending = pending[i]
+		}
+		if gains, _ := slow(model); len(gains) > 0 {
+			t.Fatalf("the pass stopped, but %d more starts are legal", len(gains))
+		}
+	})
+}
+
+// The fallback is taken without waiting, and the preferred machine first.
+func TestPreferredThenFallback(t *testing.T) {
+	s := &Snapshot{
+		Teams: map[wire.TeamID]*Team{"t": {}}, Factors: Factors{1, 0.5, 60},
+		Machines: []Machine{
+			{ID: "cold", Free: Res{4, 0, 16}, Total: Res{4, 0, 16}, PullRate: 1},
+			{ID: "warm", Free: Res{4, 0, 16}, Total: Res{4, 0, 16}, PullRate: 1, Images: map[wire.ImageID]Image{"i": Present}},
+		},
+		Jobs: []Job{{Spec: &wire.Spec{Owner: "t", Shape: wire.Sweep, Parts: 2, CPUs: 4, RAM: 4, Bundle: "i"}, Pending: 2, ZoneHeld: map[wire.Zone]int{}, Weight: 1}},
+	}
+	res := Place(s)
+	if len(res.Starts) != 2 || res.Starts[0].Machine != 1 || res.Starts[1].Machine != 0 {
+		t.Fatalf("starts %+v", res.Starts)
+	}
+}
+
+// Room kept for services is open to services only.
+func TestSpareRoom(t *testing.T) {
+	mk := func(shape wire.Shape) int {
+		s := &Snapshot{
+			Teams: map[wire.TeamID]*Team{"t": {}}, Factors: Factors{1, 0.5, 60}, Spare: 2, SpareTakes: Res{1, 0, 4},
+			Machines: []Machine{{ID: "m", Free: Res{4, 0, 16}, Total: Res{4, 0, 16}}},
+			Jobs:     []Job{{Spec: &wire.Spec{Owner: "t", Shape: shape, Parts: 9, CPUs: 1, RAM: 4}, Pending: 9, ZoneHeld: map[wire.Zone]int{}, Weight: 1}},
+		}
+		return len(Place(s).Starts)
+	}
+	if a, d := mk(wire.Sweep), mk(wire.Daemon); a != 2 || d != 4 {
+		t.Fatalf("an array got %d units of 2, a service %d of 4", a, d)
+	}
+}
+
+// Preemption stops lower priorities only, where the least work is lost, and
+// never for an everyday array. (Two classes of arrays once stopped each
+// other's tasks in turn for minutes.)
+func TestPreemption(t *testing.T) {
+	mk := func(u wire.Urgency, shape wire.Shape, rank int) []Victim {
+		v := func(n int, lost float64) Victim {
+			return Victim{Task: wire.Task{Job: "req-1", Index: n}, Rank: rank, Takes: Res{4, 0, 4}, Lost: lost, Team: "t"}
+		}
+		s := &Snapshot{Preempt: true,
+			Teams: map[wire.TeamID]*Team{"t": {}}, Factors: Factors{1, 0.5, 60},
+			Machines: []Machine{{ID: "m", Total: Res{4, 0, 16}, Victims: []Victim{v(0, 30)}}, {ID: "n", Total: Res{4, 0, 16}, Victims: []Victim{v(1, 3)}}},
+			Jobs:     []Job{{Spec: &wire.Spec{Owner: "t", Shape: shape, Urgency: u, Parts: 1, CPUs: 2, RAM: 4}, Pending: 1, ZoneHeld: map[wire.Zone]int{}, Weight: 1}},
+		}
+		return Place(s).Halts
+	}
+	if h := mk(wire.Prod, wire.Daemon, wire.Standard.Rank()); len(h) != 1 || h[0].Task.Index != 1 {
+		t.Errorf("a service stops %v", h)
+	}
+	if h := mk(wire.Standard, wire.Daemon, wire.Standard.Rank()); len(h) != 0 {
+		t.Errorf("the same priority is stopped: %v", h)
+	}
+	if h := mk(wire.Standard, wire.Sweep, wire.BestEffort.Rank()); len(h) != 0 {
+		t.Errorf("an everyday array stops %v", h)
+	}
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,337 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lilaclead/internal/wire"
+)
+
+// State is the state service: revisions, guards, grants and watches.
+type State struct {
+	mu      sync.Mutex
+	rev     wire.Revision
+	keys    map[string]*entry
+	grants  map[wire.GrantID]*grant
+	next    wire.GrantID
+	changes []change
+	wake    chan struct{}
+	// Faults.
+	out     bool
+	refused map[string]bool // hosts that get 503
+	loseTxn int             // so many transactions are executed, and their answers lost
+	maxOps  int
+	valueKB int
+}
+
+type entry struct {
+	v      wire.Raw
+	stamp  wire.Revision
+	permit wire.GrantID
+}
+
+type grant struct {
+	life time.Duration
+	ends time.Time
+}
+
+type change struct {
+	rev wire.Revision
+	c   wire.Change
+}
+
+// NewState makes an empty service.
+func NewState(maxOps, valueKB int) *State {
+	return &State{keys: map[string]*entry{}, grants: map[wire.GrantID]*grant{}, next: 1, wake: make(chan struct{}),
+		refused: map[string]bool{}, maxOps: maxOps, valueKB: valueKB}
+}
+
+// Outage begins or ends an outage. After it every grant has its full time.
+func (s *State) Outage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	s.out = on
+	if !on {
+		for _, g := range s.grants {
+			g.ends = time.Now().Add(g.life)
+		}
+	}
+	s.bump()
+}
+
+// Refuse makes the service refuse one host only.
+func (s *State) Refuse(host string, on bool) {
+	s.mu.Lock()
+	s.refused[host] = on
+	s.mu.Unlock()
+}
+
+// LoseAnswers makes the next transactions take effect without an answer.
+func (s *State) LoseAnswers(n int) {
+	s.mu.Lock()
+	s.loseTxn = n
+	s.mu.Unlock()
+}
+
+func (s *State) bump() {
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+// expire ends grants; during an outage nothing ends.
+func (s *State) expire() {
+	if s.out {
+		return
+	}
+	now := time.Now()
+	for id, g := range s.grants {
+		if !now.Before(g.ends) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *State) end(id wire.GrantID) {
+	delete(s.grants, id)
+	var dead []string
+	for k, e := range s.keys {
+		if e.permit == id {
+			dead = append(dead, k)
+		}
+	}
+	if len(dead) == 0 {
+		return
+	}
+	s.rev++
+	sort.Strings(dead)
+	for _, k := range dead {
+		delete(s.keys, k)
+		s.changes = append(s.changes, change{s.rev, wire.Change{Drop: k, Stamp: s.rev}})
+	}
+	s.bump()
+}
+
+// Keys lists the keys with a prefix, for tests.
+func (s *State) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+type ledger struct {
+	Ledger wire.Revision `cbor:"ledger"`
+}
+
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	raw, err := wire.ReadBody(r.Body, wire.MaxBody)
+	if err != nil {
+		return
+	}
+	time.Sleep(2 * time.Millisecond)
+	s.mu.Lock()
+	s.expire()
+	refuse := s.out || s.refused[hostOf(r.RemoteAddr)]
+	s.mu.Unlock()
+	if r.URL.Path == "/changes" {
+		s.watch(w, r)
+		return
+	}
+	if refuse {
+		wire.Answer(w, http.StatusServiceUnavailable, wire.Reason{Error: "trouble"})
+		return
+	}
+	bad := func() { wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: "malformed"}) }
+	switch {
+	case r.URL.Path == "/kv":
+		s.list(w, r)
+	case strings.HasPrefix(r.URL.Path, "/kv/"):
+		s.mu.Lock()
+		k := strings.TrimPrefix(r.URL.Path, "/kv/")
+		e, rev := s.keys[k], s.rev
+		var out wire.Entry
+		if e != nil {
+			out = wire.Entry{Key: k, Value: e.v, Stamp: e.stamp, Permit: e.permit}
+		}
+		s.mu.Unlock()
+		if e == nil {
+			wire.Answer(w, http.StatusNotFound, ledger{rev})
+			return
+		}
+		wire.Answer(w, http.StatusOK, out)
+	case r.URL.Path == "/txn" && r.Method == "POST":
+		var t wire.Txn
+		if wire.Decode(raw, &t) != nil || len(t.Writes) > s.maxOps || len(t.Guards) > 4*s.maxOps || len(raw) > 64<<10 {
+			bad()
+			return
+		}
+		for _, x := range t.Writes {
+			if len(x.Value) > s.valueKB<<10 || (x.Put == "") == (x.Drop == "") {
+				bad()
+				return
+			}
+		}
+		s.txn(w, &t)
+	case r.URL.Path == "/grants" && r.Method == "POST":
+		var a wire.GrantAsk
+		if wire.Decode(raw, &a) != nil || a.LifeMs < 100 || a.LifeMs > 600_000 {
+			bad()
+			return
+		}
+		s.mu.Lock()
+		id := s.next
+		s.next++
+		life := time.Duration(a.LifeMs) * time.Millisecond
+		s.grants[id] = &grant{life, time.Now().Add(life)}
+		s.mu.Unlock()
+		wire.Answer(w, http.StatusOK, wire.GrantResult{Permit: id})
+	case strings.HasPrefix(r.URL.Path, "/grants/"):
+		rest, renew := strings.CutSuffix(strings.TrimPrefix(r.URL.Path, "/grants/"), "/renew")
+		n, _ := strconv.ParseUint(rest, 10, 64)
+		s.mu.Lock()
+		g := s.grants[wire.GrantID(n)]
+		switch {
+		case g == nil:
+		case renew:
+			g.ends = time.Now().Add(g.life)
+		case r.Method == "DELETE":
+			s.end(wire.GrantID(n))
+		}
+		s.mu.Unlock()
+		if g == nil {
+			wire.Answer(w, http.StatusNotFound, wire.Reason{Error: "no such lease"})
+			return
+		}
+		wire.Answer(w, http.StatusOK, wire.GrantResult{Permit: wire.GrantID(n)})
+	default:
+		bad()
+	}
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	most, _ := strconv.Atoi(q.Get("page"))
+	if most <= 0 || most > 1000 {
+		most = 1000
+	}
+	s.mu.Lock()
+	var ks []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("under")) && k > q.Get("after") {
+			ks = append(ks, k)
+		}
+	}
+	sort.Strings(ks)
+	page := wire.EntryPage{Entries: []wire.Entry{}, Ledger: s.rev}
+	for _, k := range ks {
+		if len(page.Entries) == most {
+			page.Truncated = true
+			break
+		}
+		e := s.keys[k]
+		page.Entries = append(page.Entries, wire.Entry{Key: k, Value: e.v, Stamp: e.stamp, Permit: e.permit})
+	}
+	s.mu.Unlock()
+	wire.Answer(w, http.StatusOK, page)
+}
+
+func (s *State) txn(w http.ResponseWriter, t *wire.Txn) {
+	s.mu.Lock()
+	var failed []string
+	for _, g := range t.Guards {
+		e := s.keys[g.Key]
+		if e == nil && g.Stamp != 0 || e != nil && e.stamp != g.Stamp {
+			failed = append(failed, g.Key)
+		}
+	}
+	if failed != nil {
+		rev := s.rev
+		s.mu.Unlock()
+		wire.Answer(w, http.StatusConflict, wire.TxnResult{Ledger: rev, Failed: failed})
+		return
+	}
+	for _, x := range t.Writes {
+		if x.Put != "" && x.Permit != 0 && s.grants[x.Permit] == nil {
+			s.mu.Unlock()
+			wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: "no such lease"})
+			return
+		}
+	}
+	if len(t.Writes) > 0 {
+		s.rev++
+		for _, x := range t.Writes {
+			if x.Drop != "" {
+				delete(s.keys, x.Drop)
+				s.changes = append(s.changes, change{s.rev, wire.Change{Drop: x.Drop, Stamp: s.rev}})
+				continue
+			}
+			s.keys[x.Put] = &entry{append(wire.Raw(nil), x.Value...), s.rev, x.Permit}
+			s.changes = append(s.changes, change{s.rev, wire.Change{Put: x.Put, Value: append(wire.Raw(nil), x.Value...), Stamp: s.rev}})
+		}
+		if len(s.changes) > 10_000 {
+			s.changes = append([]change(nil), s.changes[len(s.changes)-10_000:]...)
+		}
+		s.bump()
+	}
+	rev := s.rev
+	lose := s.loseTxn > 0
+	if lose {
+		s.loseTxn--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	wire.Answer(w, http.StatusOK, wire.TxnResult{Ledger: rev})
+}
+
+func (s *State) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	block, _ := strconv.Atoi(q.Get("blockMs"))
+	until := time.After(time.Duration(min(block, 60_000)) * time.Millisecond)
+	timeUp := false
+	for {
+		s.mu.Lock()
+		s.expire()
+		res := wire.Changes{Ledger: s.rev, News: []wire.Change{}}
+		silent := s.out || s.refused[hostOf(r.RemoteAddr)]
+		if len(s.changes) > 0 && len(s.changes) == 10_000 && s.changes[0].rev > wire.Revision(after)+1 {
+			s.mu.Unlock()
+			wire.Answer(w, http.StatusGone, wire.Reason{Error: "too old"})
+			return
+		}
+		if !silent {
+			for _, c := range s.changes {
+				if c.rev > wire.Revision(after) && strings.HasPrefix(c.c.Put+c.c.Drop, q.Get("under")) {
+					res.News = append(res.News, c.c)
+				}
+			}
+		}
+		wake := s.wake
+		s.mu.Unlock()
+		if len(res.News) > 0 || timeUp && !silent {
+			wire.Answer(w, http.StatusOK, res)
+			return
+		}
+		select {
+		case <-wake:
+		case <-time.After(200 * time.Millisecond): // grants end by time
+		case <-until:
+			timeUp = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,321 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"lilaclead/internal/wire"
+)
+
+// worker is one machine's agent. The world's lock guards it.
+type worker struct {
+	w      *World
+	id     wire.MachineID
+	ip     string
+	addr   string
+	kit    wire.Kit
+	zone   wire.Zone
+	spot   bool
+	flavor wire.Flavor
+	rented time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	up       bool
+	dead     bool
+	sick     bool
+	notice   time.Time
+	shift    wire.Session
+	tally    wire.Tally
+	baton    wire.Token
+	answered time.Time // sending time of the last answered report
+	drift    float64
+	tasks    map[wire.Task]*run
+	cached   map[wire.ImageID]bool
+	poke     chan struct{}
+}
+
+type run struct {
+	try    wire.Attempt
+	phase  wire.Phase
+	cause  wire.Cause
+	saved  bool
+	cancel context.CancelFunc
+}
+
+// changed makes the worker report soon; call with the lock held.
+func (m *worker) changed() {
+	select {
+	case m.poke <- struct{}{}:
+	default:
+	}
+}
+
+// report of now; call with the lock held.
+func (m *worker) report() wire.Report {
+	m.tally++
+	r := wire.Report{Host: m.id, Addr: m.addr, Kit: m.kit, Site: m.zone, Standby: m.spot, Shift: m.shift, Tally: m.tally, Baton: m.baton, Parts: []wire.PartState{}}
+	if !m.notice.IsZero() {
+		left := wire.Seconds(max(0, time.Until(m.notice).Seconds()))
+		r.WarningS = &left
+	}
+	for t, x := range m.tasks {
+		r.Parts = append(r.Parts, wire.PartState{Part: t.String(), Try: x.try, Phase: x.phase, Cause: x.cause, Saved: x.saved})
+	}
+	return r
+}
+
+// live serves commands and reports until the machine is gone.
+func (m *worker) live() {
+	w := m.w
+	w.mu.Lock()
+	if m.dead {
+		w.mu.Unlock()
+		return
+	}
+	m.up, m.answered = true, time.Now()
+	w.mu.Unlock()
+	s := w.serve(m.addr, http.HandlerFunc(m.handle))
+	w.spawn(func() {
+		<-m.ctx.Done()
+		s.Close()
+	})
+	w.spawn(m.lease)
+	hc := &http.Client{Transport: w.Net.Host(m.ip).Transport(1, 1)}
+	at := 0
+	for m.ctx.Err() == nil {
+		w.mu.Lock()
+		rep := m.report()
+		w.mu.Unlock()
+		sent := time.Now()
+		status, body := m.post(hc, "http://"+NodeIP(at)+":8080/hello", rep)
+		again := false
+		switch status {
+		case http.StatusOK:
+			var o wire.Orders
+			if wire.Decode(body, &o) == nil {
+				m.obey(&o, rep.Shift, sent)
+			}
+		case http.StatusMisdirectedRequest:
+			var e wire.Elsewhere
+			hc.CloseIdleConnections()
+			if wire.Decode(body, &e) == nil && e.ReportsTo != "" && parseID(string(e.ReportsTo)) != at {
+				at = parseID(string(e.ReportsTo))
+				again = true
+			} else {
+				at = (at + 1) % len(w.nodes)
+				sleep(m.ctx, time.Second)
+				continue
+			}
+		default:
+			hc.CloseIdleConnections()
+			at = (at + 1) % len(w.nodes)
+			sleep(m.ctx, time.Second)
+			continue
+		}
+		if again {
+			sleep(m.ctx, 250*time.Millisecond)
+			continue
+		}
+		sleep(m.ctx, 500*time.Millisecond)
+		select {
+		case <-m.ctx.Done():
+		case <-m.poke:
+		case <-time.After(w.Set.Workers.ReportS.Duration() - 500*time.Millisecond):
+		}
+	}
+	hc.CloseIdleConnections()
+}
+
+func (m *worker) post(hc *http.Client, url string, v any) (int, []byte) {
+	ctx, cancel := context.WithTimeout(m.ctx, 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", url, bytes.NewReader(wire.Encode(v)))
+	if err != nil {
+		return 0, nil
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	raw, err := wire.ReadBody(resp.Body, wire.MaxBody)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, raw
+}
+
+// obey takes the answer of a report that was sent in the given session.
+func (m *worker) obey(o *wire.Orders, shift wire.Session, sent time.Time) {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	if m.dead || o.Baton < m.baton || o.Baton == 0 || shift != m.shift {
+		return
+	}
+	m.see(o.Baton)
+	m.answered = sent
+	m.execute(o.Orders)
+}
+
+func (m *worker) see(b wire.Token) {
+	if b > m.baton {
+		m.baton = b
+		m.changed()
+	}
+}
+
+// lease ends the session when no report was answered for its time, by the
+// worker's own clock.
+func (m *worker) lease() {
+	for m.ctx.Err() == nil {
+		sleep(m.ctx, 100*time.Millisecond)
+		m.w.mu.Lock()
+		if time.Since(m.answered).Seconds()*m.drift > float64(m.w.Set.Workers.LeaseS) && !m.dead {
+			for t, x := range m.tasks {
+				x.cancel()
+				m.w.check.Left(t, m.id, false)
+			}
+			m.tasks = map[wire.Task]*run{}
+			m.shift++
+			m.answered = time.Now()
+			m.changed()
+		}
+		m.w.mu.Unlock()
+	}
+}
+
+func (m *worker) handle(rw http.ResponseWriter, r *http.Request) {
+	raw, err := wire.ReadBody(r.Body, 1<<20)
+	if err != nil {
+		return
+	}
+	m.w.mu.Lock()
+	if m.dead {
+		m.w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	if r.URL.Path == "/commands" {
+		var o wire.Orders
+		switch {
+		case wire.Decode(raw, &o) != nil || o.Baton == 0 || o.Shift == 0:
+			status = http.StatusBadRequest
+		case o.Baton < m.baton || o.Shift != m.shift:
+			status = http.StatusConflict
+		default:
+			m.see(o.Baton)
+			m.execute(o.Orders)
+		}
+	}
+	rep := m.report()
+	m.w.mu.Unlock()
+	wire.Answer(rw, status, rep)
+}
+
+// execute carries commands out in order; call with the lock held.
+func (m *worker) execute(orders []wire.Order) {
+	for _, o := range orders {
+		t, err := wire.ParseTask(o.Part)
+		if err != nil {
+			continue
+		}
+		x := m.tasks[t]
+		switch o.Verb {
+		case wire.Launch:
+			if x != nil && x.try == o.Try {
+				continue
+			}
+			m.launch(t, o.Try, x)
+		case wire.Halt:
+			if x == nil || x.try != o.Try || x.phase == wire.Exited {
+				continue
+			}
+			x.saved = x.phase == wire.Active && o.WindDown != nil && *o.WindDown >= m.w.truths[t.Job].Spec.SnapshotS && m.w.truths[t.Job].Spec.SnapshotEveryS > 0
+			x.cancel()
+			m.exit(t, x, wire.CauseStopped)
+		case wire.Forget:
+			if x != nil && x.try == o.Try && x.phase == wire.Exited {
+				delete(m.tasks, t)
+			}
+		}
+	}
+}
+
+func (m *worker) launch(t wire.Task, try wire.Attempt, old *run) {
+	ctx, cancel := context.WithCancel(m.ctx)
+	x := &run{try: try, phase: wire.Pulling, cancel: cancel}
+	refuse := func(c wire.Cause) {
+		x.phase, x.cause = wire.Exited, c
+		m.tasks[t] = x
+		m.changed()
+	}
+	truth := m.w.truths[t.Job]
+	switch {
+	case truth == nil || t.Index >= truth.Spec.Parts:
+		refuse(wire.CauseNoSuch)
+		return
+	case old != nil && old.phase != wire.Exited:
+		return // busy: the running attempt stays listed
+	}
+	cpus, ram := m.flavor.CPUs, m.flavor.RAM
+	for o, r := range m.tasks {
+		if r.phase != wire.Exited {
+			cpus -= m.w.truths[o.Job].Spec.CPUs
+			ram -= m.w.truths[o.Job].Spec.RAM
+		}
+	}
+	if truth.Spec.CPUs > cpus+wire.Eps || truth.Spec.RAM > ram+wire.Eps {
+		refuse(wire.CauseFull)
+		return
+	}
+	m.tasks[t] = x
+	m.changed()
+	fetch := time.Duration(0)
+	if !m.cached[truth.Spec.Bundle] {
+		fetch = time.Duration(truth.Spec.ImageGB / m.flavor.PullGBPerS * float64(time.Second))
+	}
+	m.w.spawn(func() {
+		sleep(ctx, fetch)
+		m.w.mu.Lock()
+		if ctx.Err() != nil || m.tasks[t] != x {
+			m.w.mu.Unlock()
+			return
+		}
+		m.cached[truth.Spec.Bundle] = true
+		x.phase = wire.Active
+		m.w.check.Started(t, Place{m.id, m.kit, m.zone, m.spot}, time.Now())
+		m.changed()
+		sick := m.sick || truth.Fails
+		m.w.mu.Unlock()
+		switch {
+		case sick:
+			sleep(ctx, 500*time.Millisecond)
+		case truth.Spec.Service():
+			<-ctx.Done()
+		default:
+			sleep(ctx, time.Duration(truth.RunS*float64(time.Second)))
+		}
+		m.w.mu.Lock()
+		defer m.w.mu.Unlock()
+		if ctx.Err() != nil || m.tasks[t] != x {
+			return
+		}
+		if sick {
+			m.exit(t, x, wire.CauseError)
+		} else {
+			m.exit(t, x, wire.CauseDone)
+		}
+	})
+}
+
+// exit ends a task; call with the lock held.
+func (m *worker) exit(t wire.Task, x *run, c wire.Cause) {
+	if x.phase != wire.Pulling {
+		m.w.check.Left(t, m.id, c == wire.CauseDone)
+	}
+	x.phase, x.cause = wire.Exited, c
+	m.changed()
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,492 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/netio"
+	"lilaclead/internal/wire"
+)
+
+// Starter makes a node that runs until its context ends.
+type Starter func(cfg *config.Config, nw netio.Net) (func(context.Context) error, error)
+
+// Truth is what the stand-ins know of a job beside its submission.
+type Truth struct {
+	Spec  wire.Spec
+	RunS  float64 // true run time of a task
+	Fails bool    // its tasks fail on every machine
+}
+
+// World is a deployment made of stand-ins. One lock guards it all.
+type World struct {
+	Net   *Network
+	State *State
+	Set   config.Settings
+
+	mu       sync.Mutex
+	check    *Checker
+	ctx      context.Context
+	start    Starter
+	rng      *rand.Rand
+	flavors  []wire.Flavor
+	capacity map[string]int // type/zone/kind -> how many more
+	machines map[wire.MachineID]*worker
+	booked   map[string][]wire.MachineID
+	history  []snapshot
+	seq      int
+	truths   map[wire.JobID]*Truth
+	nodes    []*node
+	servers  []*http.Server
+	wg       sync.WaitGroup
+
+	cloudOut    bool
+	loseRelease int
+	loseRent    int
+	listLag     time.Duration
+	bootFactor  float64
+}
+
+type node struct {
+	cfg    config.Config
+	cancel context.CancelFunc
+}
+
+type snapshot struct {
+	at    time.Time
+	hosts []wire.Host
+}
+
+// Endpoints of the stand-ins and nodes on the in-memory network.
+const (
+	StateAddr = "10.2.0.1:2379"
+	CloudAddr = "10.2.0.2:8443"
+)
+
+// NodeIP of the i-th node.
+func NodeIP(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
+
+// DefaultSettings of a small deployment.
+func DefaultSettings() config.Settings {
+	return config.Settings{
+		Size: 3, Zones: []wire.Zone{"a", "b"}, ClockOffMs: 250,
+		Teams:   []config.Team{{Name: "red", CPUs: 16, CPUsMax: 40}, {Name: "blue", CPUs: 16}},
+		Workers: config.Workers{ReportS: 2, LeaseS: 16, CancelS: 41},
+		State:   config.State{RPS: 200, WriteRPS: 50, ValueKB: 16, TxnOps: 12},
+		Cloud:   config.Cloud{RPS: 6, ListLagS: 4},
+		Limits:  config.Limits{Cores: 0.2, MemoryMB: 98, FDLimit: 900},
+	}
+}
+
+// NewWorld builds a deployment; nothing runs yet.
+func NewWorld(ctx context.Context, set config.Settings, seed uint64, start Starter) *World {
+	limits := map[wire.TeamID]Limit{}
+	for _, t := range set.Teams {
+		limits[t.Name] = Limit{t.CPUsMax, t.GPUsMax}
+	}
+	w := &World{
+		Net: NewNetwork(time.Millisecond), State: NewState(set.State.TxnOps, int(set.State.ValueKB)), Set: set,
+		check: NewChecker(set.Workers.CancelS.Duration(), limits), ctx: ctx, start: start, rng: rand.New(rand.NewPCG(seed, 7)),
+		flavors: []wire.Flavor{
+			{Name: "c4", CPUs: 4, RAM: 16, LocalGB: 20, PullGBPerS: 1, Rate: 0.3, LowPrice: 0.1, ReadyS: 10, Sites: set.Zones},
+			{Name: "c16", CPUs: 16, RAM: 64, LocalGB: 20, PullGBPerS: 1, Rate: 1.1, LowPrice: 0.4, ReadyS: 10, Sites: set.Zones},
+		},
+		capacity: map[string]int{}, machines: map[wire.MachineID]*worker{}, booked: map[string][]wire.MachineID{},
+		truths: map[wire.JobID]*Truth{}, listLag: set.Cloud.ListLagS.Duration(), bootFactor: 1,
+	}
+	for _, f := range w.flavors {
+		for _, z := range set.Zones {
+			w.capacity[offer(f.Name, z, false)] = 6
+			w.capacity[offer(f.Name, z, true)] = 3
+		}
+	}
+	w.serve(StateAddr, w.State)
+	w.serve(CloudAddr, http.HandlerFunc(w.cloud))
+	w.spawn(func() {
+		for ctx.Err() == nil {
+			w.mu.Lock()
+			w.check.Tick(time.Now())
+			w.mu.Unlock()
+			sleep(ctx, time.Second)
+		}
+	})
+	w.nodes = make([]*node, set.Size)
+	for i := range w.nodes {
+		c := config.Config{HostName: wire.NodeID(fmt.Sprintf("worker-%d", i)), Zone: set.Zones[i%len(set.Zones)],
+			Front: NodeIP(i) + ":8080", PeerBind: NodeIP(i) + ":8081", Endpoints: config.Endpoints{Cloud: CloudAddr, State: StateAddr}, Settings: set}
+		for k := range w.nodes {
+			if k != i {
+				c.Others = append(c.Others, config.Other{HostName: wire.NodeID(fmt.Sprintf("worker-%d", k)), Zone: set.Zones[k%len(set.Zones)], Addr: NodeIP(k) + ":8081"})
+			}
+		}
+		w.nodes[i] = &node{cfg: c}
+	}
+	return w
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (w *World) spawn(f func()) {
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		f()
+	}()
+}
+
+func (w *World) serve(at string, h http.Handler) *http.Server {
+	l, err := w.Net.listen(at)
+	if err != nil {
+		panic(err)
+	}
+	s := &http.Server{Handler: h, ErrorLog: log.New(io.Discard, "", 0)}
+	w.mu.Lock()
+	w.servers = append(w.servers, s)
+	w.mu.Unlock()
+	w.spawn(func() { s.Serve(l) }) //nolint:errcheck // ends with Close
+	return s
+}
+
+// Up starts the i-th node if it is down.
+func (w *World) Up(i int) error {
+	n := w.nodes[i]
+	if n.cancel != nil {
+		return nil
+	}
+	cfg := n.cfg
+	run, err := w.start(&cfg, w.Net.Host(NodeIP(i)))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(w.ctx)
+	n.cancel = cancel
+	w.spawn(func() { run(ctx) }) //nolint:errcheck // it is killed
+	return nil
+}
+
+// Kill ends the i-th node as a power cut does.
+func (w *World) Kill(i int) {
+	n := w.nodes[i]
+	if n.cancel == nil {
+		return
+	}
+	w.Net.Reset(NodeIP(i))
+	n.cancel()
+	n.cancel = nil
+	w.Net.Reset(NodeIP(i))
+}
+
+// Leader is the index of the node that holds the office by the state
+// service's word, or -1.
+func (w *World) Leader() int {
+	w.State.mu.Lock()
+	defer w.State.mu.Unlock()
+	e := w.State.keys["lead"]
+	if e == nil {
+		return -1
+	}
+	var rec struct {
+		Node wire.NodeID `cbor:"node"`
+	}
+	if wire.Decode(e.v, &rec) != nil {
+		return -1
+	}
+	for i, n := range w.nodes {
+		if n.cfg.HostName == rec.Node {
+			return i
+		}
+	}
+	return -1
+}
+
+// Close ends everything.
+func (w *World) Close() {
+	for i := range w.nodes {
+		w.Kill(i)
+	}
+	w.mu.Lock()
+	servers := w.servers
+	w.mu.Unlock()
+	w.Net.Close()
+	for _, s := range servers {
+		s.Close()
+	}
+	w.wg.Wait()
+	w.Net.Close()
+	time.Sleep(time.Second) // handlers that were still thinking
+}
+
+// Checked runs f with the checker under the world's lock.
+func (w *World) Checked(f func(*Checker)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(w.check)
+}
+
+// ---- the cloud ----
+
+func offer(k wire.Kit, z wire.Zone, spot bool) string {
+	return fmt.Sprintf("%s/%s/%v", k, z, spot)
+}
+
+// CloudOutage begins or ends an outage of the cloud's interface.
+func (w *World) CloudOutage(on bool) {
+	w.mu.Lock()
+	w.cloudOut = on
+	w.mu.Unlock()
+}
+
+// LoseReleases makes the next releases take effect without an answer.
+func (w *World) LoseReleases(n int) {
+	w.mu.Lock()
+	w.loseRelease = n
+	w.mu.Unlock()
+}
+
+// LoseRents makes the next bookings take effect without an answer.
+func (w *World) LoseRents(n int) {
+	w.mu.Lock()
+	w.loseRent = n
+	w.mu.Unlock()
+}
+
+// Machines counts the machines that exist.
+func (w *World) Machines() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.machines)
+}
+
+// Rented counts all the machines that were ever rented.
+func (w *World) Rented() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.seq
+}
+
+// hosts lists the machines now; call with the lock held.
+func (w *World) hosts() []wire.Host {
+	out := []wire.Host{}
+	for _, m := range w.machines {
+		st := wire.HostStarting
+		if m.up {
+			st = wire.HostRunning
+		}
+		out = append(out, wire.Host{Name: m.id, Addr: m.addr, Kit: m.kit, Site: m.zone, Standby: m.spot, State: st, Age: wire.Seconds(time.Since(m.rented).Seconds())})
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
+	return out
+}
+
+func (w *World) cloud(rw http.ResponseWriter, r *http.Request) {
+	raw, err := wire.ReadBody(r.Body, wire.MaxBody)
+	if err != nil {
+		return
+	}
+	time.Sleep(50 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cloudOut {
+		wire.Answer(rw, http.StatusServiceUnavailable, wire.Reason{Error: "trouble"})
+		return
+	}
+	switch r.URL.Path {
+	case "/flavors":
+		wire.Answer(rw, http.StatusOK, wire.Flavors{Kits: w.flavors})
+	case "/machines/release":
+		var h wire.Hosts
+		if wire.Decode(raw, &h) != nil || len(h.Hosts) > 100 {
+			wire.Answer(rw, http.StatusBadRequest, wire.Reason{Error: "malformed"})
+			return
+		}
+		for _, id := range h.Hosts {
+			w.remove(id)
+		}
+		if w.loseRelease > 0 {
+			w.loseRelease--
+			panic(http.ErrAbortHandler)
+		}
+		wire.Answer(rw, http.StatusOK, struct{}{})
+	case "/machines":
+		if r.Method == "GET" {
+			w.list(rw, r)
+			return
+		}
+		w.rent(rw, raw)
+	}
+}
+
+func (w *World) list(rw http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	w.history = append(w.history, snapshot{now, w.hosts()})
+	lag := w.listLag
+	if w.rng.IntN(4) == 0 {
+		lag *= 2 // older than the one before
+	}
+	page := wire.HostPage{Hosts: []wire.Host{}}
+	for i := len(w.history) - 1; i >= 0; i-- {
+		if now.Sub(w.history[i].at) >= lag {
+			for _, h := range w.history[i].hosts {
+				if string(h.Name) > r.URL.Query().Get("after") {
+					page.Hosts = append(page.Hosts, h)
+				}
+			}
+			break
+		}
+	}
+	if len(w.history) > 200 {
+		w.history = append([]snapshot(nil), w.history[100:]...)
+	}
+	wire.Answer(rw, http.StatusOK, page)
+}
+
+func (w *World) rent(rw http.ResponseWriter, raw []byte) {
+	var b wire.Booking
+	if wire.Decode(raw, &b) != nil || b.Count < 1 || b.Count > 50 || b.Name == "" {
+		wire.Answer(rw, http.StatusBadRequest, wire.Reason{Error: "malformed"})
+		return
+	}
+	ids, known := w.booked[b.Name]
+	if !known {
+		of := offer(b.Kit, b.Site, b.Standby)
+		n := min(b.Count, w.capacity[of])
+		if n == 0 {
+			wire.Answer(rw, http.StatusServiceUnavailable, wire.Reason{Error: "no capacity"})
+			return
+		}
+		w.capacity[of] -= n
+		for range n {
+			ids = append(ids, w.boot(b.Kit, b.Site, b.Standby, time.Duration(float64(10*time.Second)*w.bootFactor*(0.6+0.9*w.rng.Float64()))))
+		}
+		w.booked[b.Name] = ids
+	}
+	if w.loseRent > 0 {
+		w.loseRent--
+		panic(http.ErrAbortHandler)
+	}
+	wire.Answer(rw, http.StatusOK, wire.Hosts{Hosts: ids})
+}
+
+// boot makes a machine; call with the lock held.
+func (w *World) boot(kit wire.Kit, zone wire.Zone, spot bool, after time.Duration) wire.MachineID {
+	id := wire.MachineID(fmt.Sprintf("n-%06d", w.seq))
+	ip := fmt.Sprintf("10.1.%d.%d", w.seq/250, w.seq%250+1)
+	w.seq++
+	var f wire.Flavor
+	for _, x := range w.flavors {
+		if x.Name == kit {
+			f = x
+		}
+	}
+	ctx, cancel := context.WithCancel(w.ctx)
+	m := &worker{w: w, id: id, ip: ip, addr: ip + ":9000", kit: kit, zone: zone, spot: spot, flavor: f, rented: time.Now(), ctx: ctx, cancel: cancel,
+		shift: 1, tasks: map[wire.Task]*run{}, cached: map[wire.ImageID]bool{}, drift: 1 + (w.rng.Float64()-0.5)*0.001, poke: make(chan struct{}, 1)}
+	w.machines[id] = m
+	w.spawn(func() {
+		sleep(ctx, after)
+		if ctx.Err() == nil {
+			m.live()
+		}
+	})
+	return id
+}
+
+// remove takes a machine away with all that is on it; call with the lock
+// held.
+func (w *World) remove(id wire.MachineID) {
+	m := w.machines[id]
+	if m == nil {
+		return
+	}
+	delete(w.machines, id)
+	w.capacity[offer(m.kit, m.zone, m.spot)]++
+	m.cancel()
+	for t := range m.tasks {
+		w.check.Left(t, id, false)
+	}
+	m.tasks = map[wire.Task]*run{}
+	m.dead = true
+	w.Net.Down(m.ip, true)
+}
+
+// Take makes the cloud take machines back without notice, at most n that
+// pass the test.
+func (w *World) Take(n int, which func(spot bool, tasks int) bool) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ids []wire.MachineID
+	for id, m := range w.machines {
+		if m.up && which(m.spot, len(m.tasks)) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
+	ids = ids[:min(n, len(ids))]
+	for _, id := range ids {
+		w.remove(id)
+	}
+	return len(ids)
+}
+
+// Some picks a live machine that passes the test.
+func (w *World) Some(which func(tasks int) bool) (wire.MachineID, string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ids []string
+	for id, m := range w.machines {
+		if m.up && which(len(m.tasks)) {
+			ids = append(ids, string(id))
+		}
+	}
+	if len(ids) == 0 {
+		return "", "", false
+	}
+	sort.Strings(ids)
+	m := w.machines[wire.MachineID(ids[0])]
+	return m.id, m.ip, true
+}
+
+// Notice gives a machine a spot notice.
+func (w *World) Notice(id wire.MachineID, left time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.machines[id]; m != nil {
+		m.notice = time.Now().Add(left)
+		m.changed()
+		w.spawn(func() {
+			sleep(w.ctx, left)
+			w.mu.Lock()
+			w.remove(id)
+			w.mu.Unlock()
+		})
+	}
+}
+
+// Sick makes a machine fail every task from now on.
+func (w *World) Sick(id wire.MachineID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.machines[id]; m != nil {
+		m.sick = true
+	}
+}
+
+func parseID(s string) int {
+	n, _ := strconv.Atoi(strings.TrimPrefix(s, "worker-"))
+	return n
+}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"lilaclead/internal/config"
+	"lilaclead/internal/netio"
 	"lilaclead/internal/wire"
 )
 
@@ -88,15 +89,15 @@
 // New makes a client. The budgets are the whole deployment's; a node takes
 // the larger half of what is left if the others take little, since mostly
 // one node leads and writes.
-func New(addr string, s config.State, size int) *Client {
+func New(addr string, s config.State, size int, nw netio.Net) *Client {
 	share := func(total float64) float64 { return max(2, total*0.6) }
 	if size == 1 {
 		share = func(total float64) float64 { return total }
 	}
 	return &Client{
 		base:    "http://" + addr,
-		http:    &http.Client{Transport: transport(12)},
-		watches: &http.Client{Transport: transport(4)},
+		http:    &http.Client{Transport: nw.Transport(12, 12)},
+		watches: &http.Client{Transport: nw.Transport(4, 4)},
 		calls:   rate.NewLimiter(rate.Limit(share(s.RPS)), int(share(s.RPS))),
 		writes:  rate.NewLimiter(rate.Limit(share(s.WriteRPS)), int(share(s.WriteRPS))),
 		started: time.Now(),
@@ -104,16 +105,6 @@
 	}
 }
 
-func transport(conns int) *http.Transport {
-	return &http.Transport{
-		MaxConnsPerHost:       conns,
-		MaxIdleConnsPerHost:   conns,
-		IdleConnTimeout:       30 * time.Second,
-		DisableCompression:    true,
-		ResponseHeaderTimeout: 0,
-	}
-}
-
 // Reachable tells whether the service has served this node lately: its last
 // good answer is newer than its last refusal.
 func (c *Client) Reachable() bool { return c.lastGood.Load() >= c.lastBad.Load() }
--- a/node.go
+++ b/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -24,6 +25,7 @@
 	"lilaclead/internal/config"
 	"lilaclead/internal/intake"
 	"lilaclead/internal/leader"
+	"lilaclead/internal/netio"
 	"lilaclead/internal/peer"
 	"lilaclead/internal/store"
 	"lilaclead/internal/tuning"
@@ -39,6 +41,7 @@
 // Node is one controller.
 type Node struct {
 	cfg     *config.Config
+	net     netio.Net
 	log     *slog.Logger
 	level   *slog.LevelVar
 	base    slog.Level
@@ -52,26 +55,39 @@
 	admin   *admin.Admin
 }
 
+// Options of a node; the zero value is the machine's own network and standard
+// error.
+type Options struct {
+	Net netio.Net
+	Log io.Writer
+}
+
 // New makes a node; it does nothing until Run.
-func New(cfg *Config) (*Node, error) {
+func New(cfg *Config, opt Options) (*Node, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, level: &slog.LevelVar{}, flavors: &leader.FlavorBox{}, tuning: tuning.NewBox()}
+	if opt.Net.Dial == nil {
+		opt.Net = netio.Real()
+	}
+	if opt.Log == nil {
+		opt.Log = os.Stderr
+	}
+	n := &Node{cfg: cfg, net: opt.Net, level: &slog.LevelVar{}, flavors: &leader.FlavorBox{}, tuning: tuning.NewBox()}
 	n.base = Level(os.Getenv("LOG_LEVEL"))
 	n.level.Set(n.base)
-	n.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: n.level})).With("node", cfg.HostName)
+	n.log = slog.New(slog.NewTextHandler(opt.Log, &slog.HandlerOptions{Level: n.level})).With("node", cfg.HostName)
 	set := &cfg.Settings
-	n.store = store.New(cfg.Endpoints.State, set.State, set.Size)
-	n.cloud = cloud.New(cfg.Endpoints.Cloud, set.Cloud)
+	n.store = store.New(cfg.Endpoints.State, set.State, set.Size, n.net)
+	n.cloud = cloud.New(cfg.Endpoints.Cloud, set.Cloud, n.net)
 	n.mesh = peer.New(cfg.HostName, cfg.Others, func() peer.Self {
 		return peer.Self{Leads: n.leader.Leads(), Serves: n.store.Reachable(), Hears: n.leader.Hears()}
-	}, n.log)
+	}, n.net, n.log)
 	met := admin.NewMetrics()
 	n.store.Observe = met.Call("state")
 	n.cloud.Observe = met.Call("cloud")
 	n.leader = leader.New(leader.Deps{
-		Config: cfg, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: met.Leader(),
+		Config: cfg, Net: n.net, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: met.Leader(),
 	})
 	n.intake = intake.New(set, n.store, n.flavors.Get, n.log)
 	n.intake.Observe = met.Request
@@ -79,6 +95,14 @@
 	return n, nil
 }
 
+// LimitProcess fits the Go runtime into the limits of the settings file. It
+// is for a process that is a node and nothing else.
+func LimitProcess(cfg *Config) {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(cfg.Settings.Limits.MemoryMB * 0.7 * (1 << 20)))
+	debug.SetGCPercent(200)
+}
+
 // Level reads a log level's name.
 func Level(name string) slog.Level {
 	switch strings.ToLower(name) {
@@ -96,15 +120,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	lim := n.cfg.Settings.Limits
-	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(lim.MemoryMB * 0.7 * (1 << 20)))
-	debug.SetGCPercent(200)
-
-	front, err := net.Listen("tcp4", n.cfg.Front)
+	front, err := n.net.Listen("tcp4", n.cfg.Front)
 	if err != nil {
 		return fmt.Errorf("front: %w", err)
 	}
-	peers, err := net.Listen("tcp4", n.cfg.PeerBind)
+	peers, err := n.net.Listen("tcp4", n.cfg.PeerBind)
 	if err != nil {
 		front.Close()
 		return fmt.Errorf("peer_bind: %w", err)
