--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,8 @@
 	// Idle: up, with nothing on it for IdleS.
 	Idle  bool
 	IdleS float64
+	// KeepS is how long it is kept with nothing to do.
+	KeepS float64
 	// PaidS is how much longer it is paid for whatever we do.
 	PaidS float64
 	Price float64
@@ -73,8 +75,6 @@
 	Machines []Machine
 	Offers   []Offer
 	Demands  []Demand
-	// KeepIdleS is how long a machine is kept with nothing to do.
-	KeepIdleS float64
 	// DearLimit is how many times the cheapest price that the types have for
 	// a unit may be paid for a unit of an array.
 	DearLimit float64
@@ -238,7 +238,7 @@
 		plan.Rents[at].Count++
 	}
 	for i, m := range s.Machines {
-		if m.Idle && !bins[i].used && m.IdleS >= s.KeepIdleS && m.PaidS <= 0 {
+		if m.Idle && !bins[i].used && m.IdleS >= m.KeepS && m.PaidS <= 0 {
 			plan.Releases = append(plan.Releases, m.ID)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,12 +17,12 @@
 var types = map[wire.Kit]placement.Res{"c4": {CPUs: 4, RAM: 16}, "c16": {CPUs: 16, RAM: 64}}
 
 func snapshots(t *rapid.T) *Snapshot {
-	s := &Snapshot{KeepIdleS: 10, MaxRents: 8, DearLimit: 3, Cheapest: func(*wire.Spec) float64 { return 0.02 }}
+	s := &Snapshot{MaxRents: 8, DearLimit: 3, Cheapest: func(*wire.Spec) float64 { return 0.02 }}
 	kit := func() wire.Kit { return rapid.SampledFrom([]wire.Kit{"c4", "c16"}).Draw(t, "kit") }
 	zone := func() wire.Zone { return rapid.SampledFrom([]wire.Zone{"a", "b"}).Draw(t, "zone") }
 	for i := range rapid.IntRange(0, 5).Draw(t, "machines") {
 		k := kit()
-		m := Machine{ID: wire.MachineID(fmt.Sprint("n-", i)), Kit: k, Zone: zone(), Spot: rapid.Bool().Draw(t, "spot"), Total: types[k], Free: types[k], Price: 0.3}
+		m := Machine{ID: wire.MachineID(fmt.Sprint("n-", i)), Kit: k, Zone: zone(), Spot: rapid.Bool().Draw(t, "spot"), Total: types[k], Free: types[k], Price: 0.3, KeepS: 10}
 		switch rapid.IntRange(0, 2).Draw(t, "what") {
 		case 0:
 			m.Booting = true
@@ -80,7 +80,7 @@
 			by[m.ID] = m
 		}
 		for _, id := range plan.Releases {
-			if m := by[id]; !m.Idle || m.Booting || m.IdleS < s.KeepIdleS || m.PaidS > 0 {
+			if m := by[id]; !m.Idle || m.Booting || m.IdleS < m.KeepS || m.PaidS > 0 {
 				t.Fatalf("releases %+v", m)
 			}
 		}
@@ -96,17 +96,17 @@
 // that no demand needs is returned once it is paid up.
 func TestRoomFirst(t *testing.T) {
 	spec := &wire.Spec{Shape: wire.Sweep, CPUs: 2, RAM: 4}
-	m := Machine{ID: "n", Kit: "c4", Zone: "a", Total: types["c4"], Free: types["c4"], Idle: true, IdleS: 20}
+	m := Machine{ID: "n", Kit: "c4", Zone: "a", Total: types["c4"], Free: types["c4"], Idle: true, IdleS: 20, KeepS: 10}
 	o := Offer{Kit: "c4", Zone: "a", Total: types["c4"], Price: 0.3, PullRate: 1, Room: 9}
-	plan := Make(&Snapshot{Machines: []Machine{m}, Offers: []Offer{o}, Demands: []Demand{{Spec: spec, Units: 2}}, KeepIdleS: 10, MaxRents: 9})
+	plan := Make(&Snapshot{Machines: []Machine{m}, Offers: []Offer{o}, Demands: []Demand{{Spec: spec, Units: 2}}, MaxRents: 9})
 	if len(plan.Rents) != 0 || len(plan.Releases) != 0 {
 		t.Fatalf("plan %+v", plan)
 	}
-	plan = Make(&Snapshot{Machines: []Machine{m}, Offers: []Offer{o}, Demands: []Demand{{Spec: spec, Units: 5}}, KeepIdleS: 10, MaxRents: 9})
+	plan = Make(&Snapshot{Machines: []Machine{m}, Offers: []Offer{o}, Demands: []Demand{{Spec: spec, Units: 5}}, MaxRents: 9})
 	if len(plan.Rents) != 1 || plan.Rents[0].Count != 2 {
 		t.Fatalf("plan %+v", plan)
 	}
-	plan = Make(&Snapshot{Machines: []Machine{m}, KeepIdleS: 10})
+	plan = Make(&Snapshot{Machines: []Machine{m}})
 	if len(plan.Releases) != 1 {
 		t.Fatalf("plan %+v", plan)
 	}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -353,7 +353,7 @@
 	// What an earlier leader rented last is not listed yet.
 	lag := t.set.Cloud.ListLagS.Duration()
 	v := t.l.Tuning.Get()
-	s := &fleet.Snapshot{KeepIdleS: v.KeepIdleS, MaxRents: 16, DearLimit: v.DearLimit,
+	s := &fleet.Snapshot{MaxRents: 16, DearLimit: v.DearLimit,
 		Cheapest: func(spec *wire.Spec) float64 { return cheapest(flavors, spec) }}
 	var order []*machine
 	for _, m := range t.machines {
@@ -369,7 +369,7 @@
 			continue
 		}
 		fm := fleet.Machine{ID: m.id, Kit: m.kit, Zone: m.zone, Spot: m.spot, Total: t.total(m), Free: t.free(m), Booting: m.booting,
-			PaidS: 60 - now.Sub(m.rentedAt).Seconds(), Price: f.Price(m.spot)}
+			PaidS: 60 - now.Sub(m.rentedAt).Seconds(), Price: f.Price(m.spot), KeepS: v.KeepBoots * float64(f.ReadyS)}
 		if m.booting && now.Sub(m.rentedAt) > f.ReadyS.Duration()*2 {
 			continue // not to be counted on
 		}
