--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -89,7 +89,7 @@
 
 // weight of one unit of a job: priority first, then guarantee and deadline.
 func (t *term) weight(j *job, guaranteed bool, now time.Time) float64 {
-	w := [4]float64{1, 4, 16, 256}[j.spec.Urgency.Rank()]
+	w := [4]float64{1, 2, 8, 256}[j.spec.Urgency.Rank()]
 	if guaranteed {
 		w *= 3
 	}
@@ -101,8 +101,8 @@
 		w *= math.Pow(1000/(work+50), 1)
 		switch slack := t.slack(j, now); {
 		case slack < -need/2:
-			w *= 0.5 // late whatever we do
-		case slack < need/2:
+			w *= 0.1 // late whatever we do
+		case slack < need:
 			w *= 2
 		}
 	}
