--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -154,14 +154,21 @@
 		l.Metrics.Report("elsewhere")
 		v := l.Mesh.View()
 		if v.Leader != "" {
+			if l.relay(r.Context(), w, v.Leader, &rep) {
+				return
+			}
 			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: v.Leader})
 			return
 		}
 		wire.Refuse(w, http.StatusServiceUnavailable, "no leader known", 1)
 		return
 	}
-	ask := hello{rep: rep, reply: make(chan wire.Orders, 1)}
-	ctx, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+	l.serve(r.Context(), w, t, hello{rep: rep, reply: make(chan *wire.Orders, 1)})
+}
+
+// serve has the term's loop answer a report.
+func (l *Leader) serve(ctx context.Context, w http.ResponseWriter, t *term, ask hello) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	select {
 	case t.hellos <- ask:
@@ -170,6 +177,11 @@
 	}
 	select {
 	case o := <-ask.reply:
+		if o == nil {
+			l.Metrics.Report("sent here")
+			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: l.Config.HostName})
+			return
+		}
 		l.Metrics.Report("ok")
 		wire.Answer(w, http.StatusOK, o)
 	case <-t.over:
@@ -178,3 +190,36 @@
 		wire.Refuse(w, http.StatusServiceUnavailable, "busy", 1)
 	}
 }
+
+// relay passes a report on to the leader, which answers it if the worker
+// seems unable to reach the leader itself. A worker that is cut off from the
+// leader only would otherwise go to and fro until its lease ends.
+func (l *Leader) relay(ctx context.Context, w http.ResponseWriter, to wire.NodeID, rep *wire.Report) bool {
+	status, raw, err := l.Mesh.Relay(ctx, to, "/peer/hello", rep)
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	var o wire.Orders
+	if wire.Decode(raw, &o) != nil {
+		return false
+	}
+	l.Metrics.Report("relayed")
+	wire.Answer(w, http.StatusOK, o)
+	return true
+}
+
+// Relayed handles a report that another node passes on.
+func (l *Leader) Relayed(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	raw, err := wire.ReadBody(r.Body, wire.MaxBody)
+	var rep wire.Report
+	if err != nil || wire.Decode(raw, &rep) != nil || rep.Host == "" {
+		wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: "not a report"})
+		return
+	}
+	t := l.term.Load()
+	if t == nil || !t.answering() {
+		wire.Refuse(w, http.StatusServiceUnavailable, "does not lead", 1)
+		return
+	}
+	l.serve(r.Context(), w, t, hello{rep: rep, relayed: true, reply: make(chan *wire.Orders, 1)})
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -160,12 +160,15 @@
 	report := t.set.Workers.ReportS.Duration()
 	silentAfter := report*9/4 + time.Second
 	lostAfter := report*13/4 + 2*time.Second
-	up, silent, lost := 0, 0, 0
+	up, silent, lost, relayed := 0, 0, 0, 0
 	for _, m := range t.machines {
 		if m.booting || m.releasing {
 			continue
 		}
 		up++
+		if m.relayed {
+			relayed++
+		}
 		if t.silence(m, now) > silentAfter {
 			silent++
 		}
@@ -175,7 +178,7 @@
 	}
 	// When many are silent it is rather this node that is cut off from them.
 	cutOff := silent >= 3 && silent*2 > up
-	if cutOff && lost*2 > up && t.deciding() && now.Sub(t.born) > lostAfter+t.set.Workers.LeaseS.Duration()/8 {
+	if (cutOff && lost*2 > up || relayed >= 3 && relayed*2 > up) && t.deciding() && now.Sub(t.born) > lostAfter+t.set.Workers.LeaseS.Duration()/8 {
 		for name, o := range t.l.Mesh.View().Others {
 			if now.Sub(o.Heard) < peer.X && o.Serves && o.Hears*2 > up {
 				t.resign("workers reach " + string(name) + ", not this node")
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -22,7 +22,10 @@
 	tally wire.Tally
 	baton wire.Token
 
-	booting  bool // never reported, as far as we know
+	directAt time.Time // last report that came here by itself
+	sentAt   time.Time // last report through another node
+	relayed  bool      // the last report came through another node
+	booting  bool      // never reported, as far as we know
 	rentedAt time.Time
 	seenAt   time.Time // last message from it
 	tokenAt  time.Time // when it first showed a token of this term
@@ -66,7 +69,7 @@
 	if !t.answering() {
 		return // the handler's time runs out, or the term's end answers
 	}
-	o := wire.Orders{Baton: t.token, Orders: []wire.Order{}}
+	o := &wire.Orders{Baton: t.token, Orders: []wire.Order{}}
 	if _, gone := t.gone[h.rep.Host]; gone {
 		// Released, and the cloud said so: only a late report can come.
 		h.reply <- o
@@ -80,9 +83,32 @@
 		return
 	}
 	m := t.machine(h.rep.Host)
-	fresh := t.apply(m, &h.rep, true, now)
+	if !h.rep.Newer(m.shift, m.tally) {
+		// Held up on its way: it says nothing of now, not even which way
+		// the worker takes.
+		h.reply <- o
+		return
+	}
+	if h.relayed {
+		// A worker that is new, or new to this leader, is sent here first. If
+		// it was here before, or was sent here and turns up elsewhere again,
+		// it can't reach this node.
+		first := m.directAt.IsZero() && m.sentAt.IsZero()
+		m.sentAt = now
+		if first {
+			h.reply <- nil
+			return
+		}
+		if !m.relayed {
+			t.log().Info("worker reaches the leader only through another node", "machine", m.id)
+		}
+	} else {
+		m.directAt = now
+	}
+	m.relayed = h.relayed
+	t.apply(m, &h.rep, true, now)
 	m.answered = now
-	if fresh && t.deciding() {
+	if t.deciding() {
 		o.Orders = t.orders(m, &h.rep, now)
 	}
 	h.reply <- o
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -18,8 +18,10 @@
 
 // hello is a report with the channel for its answer.
 type hello struct {
-	rep   wire.Report
-	reply chan wire.Orders
+	rep     wire.Report
+	relayed bool // by another node
+	// reply gets the answer, or nil: the worker should come itself.
+	reply chan *wire.Orders
 }
 
 // term is one time in office. Its loop owns everything below the line; the
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -5,6 +5,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -299,6 +300,29 @@
 	}
 }
 
+// Relay asks another node over HTTP/2 and returns its answer.
+func (m *Mesh) Relay(ctx context.Context, to wire.NodeID, path string, body any) (int, []byte, error) {
+	for _, o := range m.others {
+		if o.HostName != to {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, X)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+o.Addr+path, bytes.NewReader(wire.Encode(body)))
+		if err != nil {
+			return 0, nil, err
+		}
+		resp, err := m.client.Do(req)
+		if err != nil {
+			return 0, nil, err
+		}
+		defer resp.Body.Close()
+		raw, err := wire.ReadBody(resp.Body, wire.MaxBody)
+		return resp.StatusCode, raw, err
+	}
+	return 0, nil, errors.New("no such node")
+}
+
 func (m *Mesh) knows(id wire.NodeID) bool {
 	for _, o := range m.others {
 		if o.HostName == id {
--- a/node.go
+++ b/node.go
@@ -178,6 +178,7 @@
 func (n *Node) peerRoutes() http.Handler {
 	r := router()
 	r.Handler("POST", "/peer/beats", n.mesh)
+	r.POST("/peer/hello", n.leader.Relayed)
 	n.admin.Routes(r)
 	return r
 }
--- a/world_test.go
+++ b/world_test.go
@@ -409,6 +409,34 @@
 	})
 }
 
+// Workers that only the leader can't reach are served through another node,
+// and their machines are kept. (A leader cut off from half of its workers
+// once released them all.)
+func TestWorkersCutFromLeaderOnly(t *testing.T) {
+	play(t, 13, func(w *standin.World, at func(time.Duration)) {
+		s, a := service(1, 3), array(2, 12, 20)
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		w.Submit(a, 0)
+		at(40 * time.Second)
+		l := w.Leader()
+		_, ip, ok := w.Some(func(n int) bool { return n > 0 })
+		if !ok {
+			t.Fatal("no machine at work")
+		}
+		w.Net.Cut(standin.NodeIP(l), ip, true)
+		at(100 * time.Second) // against a lease of 16 s
+		w.Checked(func(c *standin.Checker) {
+			if c.On(s.Spec.ID) != 3 || c.Again() != 0 {
+				t.Errorf("%d of 3 replicas, %d tasks started again", c.On(s.Spec.ID), c.Again())
+			}
+		})
+		w.Net.Cut(standin.NodeIP(l), ip, false)
+		at(160 * time.Second)
+		mustFinish(t, w, a)
+	})
+}
+
 // Nodes restart within a fraction of a second, also in the middle of an
 // election.
 func TestQuickRestarts(t *testing.T) {
