Safety edges as tests; blind service bounded by time stamps, not flags

The blind flag was renewed every 100 ms by the loop; a starved loop could have answered reports beyond X. Now a handler compares the clock with the end of the youngest majority's acknowledgement, bounded by B. Failed machines are released even if the list came while the leader could not decide. A forget that a lost launch blocks asks for a higher token.

--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -131,9 +131,8 @@
 			}
 		}
 		if h.State == wire.HostFailed && !m.failed {
-			m.failed = true
+			m.failed, m.booting = true, false
 			t.log().Info("machine failed", "machine", m.id, "tasks", len(m.tasks))
-			t.release(m, "failed")
 		}
 	}
 	if !t.placing {
@@ -224,6 +223,10 @@
 	if !t.deciding() || !t.recovered {
 		return
 	}
+	if m.failed {
+		t.release(m, "failed")
+		return
+	}
 	quiet := t.silence(m, now)
 	if quiet > silentAfter && m.probes < 2 && !m.busy {
 		t.probe(m)
@@ -252,7 +255,7 @@
 		if a.halting && a.haltSent.IsZero() || a.halting && now.Sub(a.haltSent) > 2*time.Second {
 			t.dispatch(m)
 		}
-		if a.lost && now.Sub(a.at) > 6*time.Second && !a.seen && (a.halting || m.drain != "") || m.lost.token == t.token && m.lost.token > 0 && len(m.tasks) == 0 {
+		if a.lost && !a.seen && (a.halting || m.drain != "") && now.Sub(a.at) > 6*time.Second {
 			t.wantRaise = true
 		}
 	}
--- a/internal/leader/office.go
+++ b/internal/leader/office.go
@@ -128,8 +128,5 @@
 // surely held, or, with the state service away, as long as a majority of the
 // nodes acknowledged our token lately and B has not passed.
 func (t *term) answering() bool {
-	if t.deciding() {
-		return true
-	}
-	return t.blindOK.Load()
+	return t.deciding() || int64(time.Since(t.born)) < t.blind.Load()
 }
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -267,7 +267,11 @@
 // attempt again is under way to the worker. A forgotten attempt that is
 // launched late would run once more.
 func (t *term) mayForget(m *machine, task wire.Task, rep *wire.Report) bool {
-	if m.busy || rep.Baton < t.first || m.lostAt(rep) {
+	if m.lostAt(rep) {
+		t.wantRaise = true // a new token ends what may still be on its way
+		return false
+	}
+	if m.busy || rep.Baton < t.first {
 		return false
 	}
 	j := t.jobs[task.Job]
--- /dev/null
+++ b/internal/leader/safety_test.go
@@ -0,0 +1,189 @@
+package leader
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/store"
+	"lilaclead/internal/tuning"
+	"lilaclead/internal/wire"
+)
+
+// rig is a term without I/O, with one job of one task held on one machine.
+func rig(t *testing.T) (*term, *machine, *attempt) {
+	t.Helper()
+	cfg := &config.Config{Settings: config.Settings{Size: 3, Workers: config.Workers{ReportS: 2, LeaseS: 16, CancelS: 41}}}
+	l := &Leader{Deps: Deps{Config: cfg, Tuning: tuning.NewBox(), Flavors: &FlavorBox{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Metrics: Metrics{Moved: func(string) {}, Waited: func(string, float64) {}, Fleet: func(string, int) {}}}}
+	tm := newTerm(l, office{token: 50, at: time.Now(), until: time.Now().Add(time.Hour)})
+	tm.recovered = true
+	j := newJob(store.JobRecord{Spec: wire.Spec{ID: "req-1", Owner: "red", Shape: wire.Sweep, Parts: 1, CPUs: 1}, At: wire.StampOf(time.Now())}, 1)
+	tm.jobs[j.spec.ID] = j
+	m := tm.machine("n-1")
+	m.shift, m.tally, m.baton, m.upAt = 1, 10, 50, time.Now()
+	a := &attempt{job: j, chunk: j.chunk(0), index: 0, try: 7, m: m}
+	a.chunk.hold(a)
+	return tm, m, a
+}
+
+func said(shift wire.Session, tally wire.Tally, baton wire.Token, parts ...wire.PartState) *wire.Report {
+	return &wire.Report{Host: "n-1", Shift: shift, Tally: tally, Baton: baton, Parts: parts}
+}
+
+// When a task that a report lacks counts as gone: only when no launch of it
+// can still take effect.
+func TestAbsentIsNotGone(t *testing.T) {
+	cases := []struct {
+		name  string
+		setup func(*attempt)
+		rep   *wire.Report
+		hello bool
+		gone  bool
+	}{
+		{"inherited, the worker has not seen our token", func(a *attempt) { a.inherited = true }, said(1, 11, 49), true, false},
+		{"inherited, our token seen", func(a *attempt) { a.inherited = true }, said(1, 11, 50), true, true},
+		{"an old report", func(a *attempt) { a.inherited = true }, said(1, 9, 50), true, false},
+		{"stored, not yet written", func(a *attempt) { a.planned = true }, said(1, 11, 50), true, false},
+		{"stored, never sent", func(a *attempt) {}, said(1, 11, 50), true, false},
+		{"command under way", func(a *attempt) { a.sent, a.sentShift, a.directBusy = true, 1, true }, said(1, 11, 50), true, false},
+		{"command lost, token not raised", func(a *attempt) { a.seen, a.sent, a.sentShift, a.lost, a.lostToken = true, true, 1, true, 50 }, said(1, 11, 50), true, false},
+		{"command lost, token raised", func(a *attempt) { a.seen, a.sent, a.sentShift, a.lost, a.lostToken = true, true, 1, true, 50 }, said(1, 11, 51), true, true},
+		{"command lost, session over", func(a *attempt) { a.seen, a.sent, a.sentShift, a.lost, a.lostToken = true, true, 1, true, 50 }, said(2, 1, 50), true, true},
+		{"in an answer that the worker may still execute", func(a *attempt) { a.seen, a.sent, a.sentShift, a.helloShift, a.helloTally = true, true, 1, 1, 10 }, said(1, 11, 50), false, false},
+		{"in an answer, and the next report is here", func(a *attempt) { a.seen, a.sent, a.sentShift, a.helloShift, a.helloTally = true, true, 1, 1, 10 }, said(1, 11, 50), true, true},
+		{"the session is over", func(a *attempt) { a.sent, a.sentShift = true, 1 }, said(2, 1, 50), true, true},
+	}
+	for _, c := range cases {
+		tm, m, a := rig(t)
+		c.setup(a)
+		tm.apply(m, c.rep, c.hello, time.Now())
+		if gone := a.job.held == 0; gone != c.gone {
+			t.Errorf("%s: gone %v, want %v", c.name, gone, c.gone)
+		}
+	}
+}
+
+// The safe wait after a silence, at its edge: a machine's tasks count until
+// its lease has run out by the slowest clock, from when anybody could have
+// answered it last.
+func TestLeaseRunsOutAtItsEdge(t *testing.T) {
+	life := 16*time.Second + 16*time.Second/500 + 1500*time.Millisecond
+	cases := []struct {
+		name  string
+		setup func(tm *term, m *machine)
+		from  func(tm *term, m *machine) time.Time
+	}{
+		{"answered by us", func(tm *term, m *machine) { m.answered = tm.born.Add(5 * time.Second) },
+			func(_ *term, m *machine) time.Time { return m.answered }},
+		{"only probed: an earlier leader may have answered until it saw our token", func(tm *term, m *machine) { m.tokenAt = tm.born.Add(time.Second) },
+			func(_ *term, m *machine) time.Time { return m.tokenAt }},
+		{"never heard, a majority holds our token", func(tm *term, m *machine) { m.baton, tm.acked = 0, tm.born.Add(time.Second) },
+			func(tm *term, _ *machine) time.Time { return tm.acked.Add(peer.X) }},
+		{"never heard, no majority", func(tm *term, m *machine) { m.baton = 0 },
+			func(tm *term, _ *machine) time.Time { return tm.born.Add(peer.B) }},
+	}
+	for _, c := range cases {
+		tm, m, a := rig(t)
+		c.setup(tm, m)
+		edge := c.from(tm, m).Add(life)
+		tm.expire(m, edge.Add(-time.Millisecond))
+		if a.job.held != 1 {
+			t.Errorf("%s: gone before the lease ends", c.name)
+		}
+		tm.expire(m, edge)
+		if a.job.held != 0 {
+			t.Errorf("%s: still held after the lease", c.name)
+		}
+	}
+}
+
+// An attempt is forgotten only when its outcome is stored and no launch of
+// it can still arrive; a blocked one asks for a higher token.
+func TestForget(t *testing.T) {
+	exited := wire.PartState{Part: "req-1/0", Try: 7, Phase: wire.Exited, Cause: wire.CauseStopped}
+	for name, c := range map[string]struct {
+		setup  func(tm *term, m *machine, a *attempt)
+		forget bool
+		raise  bool
+	}{
+		"stored":                 {func(*term, *machine, *attempt) {}, true, false},
+		"not yet stored":         {func(_ *term, _ *machine, a *attempt) { a.chunk.dirty = true }, false, false},
+		"being stored":           {func(_ *term, _ *machine, a *attempt) { a.chunk.busy = true }, false, false},
+		"a launch is on its way": {func(_ *term, m *machine, _ *attempt) { m.lost = lostCommand{50, 1} }, false, true},
+		"it died with its token": {func(_ *term, m *machine, _ *attempt) { m.lost = lostCommand{49, 1} }, true, false},
+	} {
+		tm, m, a := rig(t)
+		rep := said(1, 11, 50, exited)
+		tm.apply(m, rep, true, time.Now())
+		a.chunk.dirty = false
+		c.setup(tm, m, a)
+		got := false
+		for _, o := range tm.orders(m, rep, time.Now()) {
+			got = got || o.Verb == wire.Forget && o.Try == 7
+		}
+		if got != c.forget || tm.wantRaise != c.raise {
+			t.Errorf("%s: forget %v, raise %v", name, got, tm.wantRaise)
+		}
+	}
+}
+
+// A task that is on a machine without being wanted there is stopped, and its
+// room is not given away.
+func TestStray(t *testing.T) {
+	tm, m, _ := rig(t)
+	tm.l.Flavors.Set([]wire.Flavor{{Name: "c4", CPUs: 4, RAM: 16}})
+	rep := said(1, 11, 50, wire.PartState{Part: "req-1/0", Try: 7, Phase: wire.Active}, wire.PartState{Part: "req-77/0", Try: 1, Phase: wire.Active})
+	rep.Kit = "c4"
+	tm.apply(m, rep, true, time.Now())
+	if f := tm.free(m); f.CPUs != 0 {
+		t.Errorf("%g cpus free beside a task of unknown size", f.CPUs)
+	}
+	halts := 0
+	for _, o := range tm.orders(m, rep, time.Now()) {
+		if o.Verb == wire.Halt && o.Part == "req-77/0" {
+			halts++
+		}
+	}
+	if halts != 1 {
+		t.Errorf("%d halts", halts)
+	}
+}
+
+// Images are inferred from tasks past their fetch, and the least recently
+// used are taken to be pushed out.
+func TestImagesInferred(t *testing.T) {
+	var c imageCache
+	t0 := time.Unix(0, 0)
+	for i, id := range []wire.ImageID{"a", "b", "a", "c"} {
+		c.touch(id, 4, 10, t0.Add(time.Duration(i)*time.Second))
+	}
+	if _, a := c.has["a"]; !a {
+		t.Error("a was used after b and is gone")
+	}
+	if _, b := c.has["b"]; b {
+		t.Error("b does not fit any more and is still there")
+	}
+}
+
+// A leader that suspects many machines suspects wrongly: what shows on a
+// quarter of them is not the machines' fault.
+func TestSuspicionIsBounded(t *testing.T) {
+	tm, m, _ := rig(t)
+	m.drain = "faulty"
+	for _, id := range []wire.MachineID{"n-2", "n-3", "n-4"} {
+		tm.machine(id)
+	}
+	if tm.sparable() {
+		t.Error("a second of four machines may be condemned")
+	}
+	for _, id := range []wire.MachineID{"n-5", "n-6", "n-7", "n-8"} {
+		tm.machine(id)
+	}
+	if !tm.sparable() {
+		t.Error("a second of eight machines may not be condemned")
+	}
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -31,7 +31,7 @@
 	permit  wire.GrantID
 	born    time.Time
 	until   atomic.Int64 // since born
-	blindOK atomic.Bool
+	blind   atomic.Int64 // since born: until then reports may be answered without the state service
 	hellos  chan hello
 	inbox   chan func()
 	over    chan struct{}
@@ -170,15 +170,19 @@
 		t.end("a higher token is known")
 		return
 	}
-	acked := v.Acked(t.token, now) > t.set.Size/2
+	until := v.AckedUntil(t.token, t.set.Size/2+1)
+	acked := now.Before(until)
 	if acked && t.acked.IsZero() {
 		t.acked = now
 	}
+	// Bounded by B from the end of the grant, so that a successor knows when
+	// this node answered last, at the latest.
+	bound := time.Duration(t.until.Load()) + peer.B - haste
+	t.blind.Store(int64(min(until.Sub(t.born), bound)))
 	if t.deciding() {
 		if !t.blindAt.IsZero() {
 			t.log().Info("state service back", "token", t.token, "away", now.Sub(t.blindAt))
 			t.blindAt = time.Time{}
-			t.blindOK.Store(false)
 			t.wantRound()
 		}
 	} else {
@@ -186,7 +190,6 @@
 			t.blindAt = now
 			t.log().Info("state service away; keeps answering reports while a majority agrees", "token", t.token, "agrees", acked)
 		}
-		t.blindOK.Store(acked && now.Sub(t.blindAt) < peer.B-haste)
 	}
 	if !t.placing && t.recovered {
 		bound := t.set.Workers.ReportS.Duration()*5/4 + 1500*time.Millisecond
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -125,19 +126,26 @@
 	}
 }
 
-// Acked counts the nodes, this one included, that hold the token and said so
-// in answer to a beat sent within the last X.
-func (v *View) Acked(t wire.Token, now time.Time) int {
+// AckedUntil is until when an acknowledgement of the token by so many nodes,
+// this one included, is young enough to count; zero if it never was.
+func (v *View) AckedUntil(t wire.Token, nodes int) time.Time {
 	if v.Token > t {
-		return 0
+		return time.Time{}
 	}
-	n := 1
+	var at []time.Time
 	for _, o := range v.Others {
-		if o.AckToken == t && now.Sub(o.AckSent) < X {
-			n++
+		if o.AckToken == t {
+			at = append(at, o.AckSent.Add(X))
 		}
 	}
-	return n
+	if len(at) < nodes-1 {
+		return time.Time{}
+	}
+	if nodes <= 1 {
+		return time.Now().Add(X)
+	}
+	slices.SortFunc(at, func(a, b time.Time) int { return b.Compare(a) })
+	return at[nodes-2]
 }
 
 // Run owns the view until the context ends.
--- /dev/null
+++ b/internal/peer/mesh_test.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/wire"
+)
+
+// A majority's acknowledgement counts from when the beat was sent, for X.
+func TestAckedUntil(t *testing.T) {
+	t0 := time.Unix(100, 0)
+	v := &View{Token: 9, Others: map[wire.NodeID]Other{
+		"a": {AckToken: 9, AckSent: t0}, "b": {AckToken: 9, AckSent: t0.Add(time.Second)}, "c": {AckToken: 8, AckSent: t0.Add(9 * time.Second)}}}
+	for n, want := range map[int]time.Time{2: t0.Add(time.Second + X), 3: t0.Add(X), 4: {}} {
+		if got := v.AckedUntil(9, n); !got.Equal(want) {
+			t.Errorf("%d nodes: until %v, want %v", n, got, want)
+		}
+	}
+	if got := v.AckedUntil(8, 1); !got.IsZero() {
+		t.Errorf("an older token counts until %v", got)
+	}
+}
+
+// Tokens spread, the higher one wins, a fresh process acknowledges nothing
+// for X, and a cut ends the acknowledgements.
+func TestBeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		nw := standin.NewNetwork(time.Millisecond)
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		var protocols http.Protocols
+		protocols.SetUnencryptedHTTP2(true)
+		var servers []*http.Server
+		node := func(name, other wire.NodeID, ip, otherIP string, leads bool) *Mesh {
+			m := New(name, []config.Other{{HostName: other, Addr: otherIP + ":1"}}, func() Self { return Self{Leads: leads, Serves: true} }, nw.Host(ip), log)
+			l, err := nw.Host(ip).Listen("tcp4", ip+":1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &http.Server{Handler: m, Protocols: &protocols}
+			servers = append(servers, s)
+			go s.Serve(l) //nolint:errcheck // ends with Close
+			go m.Run(ctx)
+			return m
+		}
+		a, b := node("a", "b", "10.0.0.1", "10.0.0.2", true), node("b", "a", "10.0.0.2", "10.0.0.1", false)
+		a.Raise(ctx, 7)
+		time.Sleep(1500 * time.Millisecond)
+		if got := a.View().AckedUntil(7, 2); got.After(time.Now()) {
+			t.Error("a fresh process acknowledges")
+		}
+		time.Sleep(2 * time.Second)
+		if got := a.View().AckedUntil(7, 2); !got.After(time.Now()) {
+			t.Error("no acknowledgement")
+		}
+		if v := b.View(); v.Token != 7 || v.Leader != "a" {
+			t.Errorf("b knows token %d, leader %q", v.Token, v.Leader)
+		}
+		b.Raise(ctx, 9)
+		time.Sleep(time.Second)
+		if got := a.View().AckedUntil(7, 1); got.After(time.Now()) || a.View().Token != 9 {
+			t.Errorf("the lower token still counts until %v", got)
+		}
+		nw.Cut("10.0.0.1", "10.0.0.2", true)
+		time.Sleep(X + time.Second)
+		if got := a.View().AckedUntil(9, 2); got.After(time.Now()) {
+			t.Error("acknowledged through a cut")
+		}
+		nw.Cut("10.0.0.1", "10.0.0.2", false)
+		time.Sleep(5 * time.Second)
+		if got := a.View().AckedUntil(9, 2); !got.After(time.Now()) {
+			t.Error("no acknowledgement after the cut")
+		}
+		cancel()
+		nw.Close()
+		for _, s := range servers {
+			s.Close()
+		}
+		time.Sleep(5 * time.Second)
+		nw.Close()
+	})
+}
