--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,80 @@
+// Command standin is a small deployment on the loopback network to try
+// lilaclead against: a state service, a cloud with its workers, and users
+// who submit jobs, with a checker for the protocol's rules. It writes a
+// settings file for each of three controllers, which are started by hand.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pelletier/go-toml/v2"
+
+	"lilaclead/internal/standin"
+	"lilaclead/internal/wire"
+)
+
+var cli struct {
+	Dir string        `arg:"" help:"Folder for the settings files." type:"existingdir"`
+	For time.Duration `help:"How long to run." default:"10m"`
+}
+
+func run(ctx context.Context) error {
+	set := standin.DefaultSettings()
+	w := standin.NewWorld(ctx, set, uint64(time.Now().UnixNano()), nil, standin.Loopback)
+	for i := range set.Size {
+		c := w.Config(i)
+		c.Front, c.PeerBind = standin.LoopbackAddr(c.Front), standin.LoopbackAddr(c.PeerBind)
+		c.Endpoints.State, c.Endpoints.Cloud = standin.LoopbackAddr(c.Endpoints.State), standin.LoopbackAddr(c.Endpoints.Cloud)
+		for k := range c.Others {
+			c.Others[k].Addr = standin.LoopbackAddr(c.Others[k].Addr)
+		}
+		b, err := toml.Marshal(c)
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(cli.Dir, fmt.Sprintf("node-%d.toml", i))
+		if err := os.WriteFile(path, b, 0o644); err != nil {
+			return err
+		}
+		fmt.Println("wrote", path)
+	}
+	tick := time.NewTicker(5 * time.Second)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		t := standin.Truth{RunS: 8, Spec: wire.Spec{ID: wire.JobID(fmt.Sprintf("req-%06d", n)), Lane: "demo", Owner: "red", Shape: wire.Sweep,
+			Urgency: wire.Standard, Parts: 1 + n%6, CPUs: 2, RAM: 4, Bundle: "img-a", ImageGB: 1, Standby: true, Expected: 8}}
+		if n%4 == 3 {
+			t.Spec.Shape, t.Spec.Urgency, t.Spec.Owner, t.Spec.Standby, t.Spec.Expected = wire.Daemon, wire.Prod, "blue", false, 0
+			w.Submit(t, 40*time.Second)
+		} else {
+			w.Submit(t, 0)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		w.Checked(func(c *standin.Checker) {
+			done, cancelled := c.Finished()
+			fmt.Printf("%d jobs submitted, %d done, %d cancelled; %d broken rules %v\n", n+1, done, cancelled, len(c.Breaks), c.Breaks)
+		})
+	}
+}
+
+func main() {
+	kong.Parse(&cli, kong.Name("standin"), kong.Description("Stand-ins for the state service, the cloud, workers and users, on the loopback network."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, cli.For)
+	defer cancel()
+	if err := run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -25,6 +25,7 @@
 	commands *prometheus.CounterVec
 	moved    *prometheus.CounterVec
 	fleet    *prometheus.CounterVec
+	machines *prometheus.GaugeVec
 }
 
 // NewMetrics makes the metrics of a node.
@@ -42,7 +43,8 @@
 	m.commands = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lilaclead_commands_total", Help: "Direct commands to workers."}, []string{"outcome"})
 	m.moved = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lilaclead_moves_total", Help: "Tasks that ended before they were done."}, []string{"why"})
 	m.fleet = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lilaclead_fleet_total", Help: "Machines rented, drained and released."}, []string{"what"})
-	m.reg.MustRegister(m.calls, m.requests, m.rounds, m.starts, m.halts, m.led, m.reports, m.waits, m.commands, m.moved, m.fleet)
+	m.machines = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "lilaclead_machines", Help: "Machines by state, as the leader knows them."}, []string{"state"})
+	m.reg.MustRegister(m.calls, m.requests, m.rounds, m.starts, m.halts, m.led, m.reports, m.waits, m.commands, m.moved, m.fleet, m.machines)
 	return m
 }
 
@@ -74,10 +76,22 @@
 		Waited:  func(lane string, s float64) { m.waits.WithLabelValues(lane).Observe(s) },
 		Command: func(s string) { m.commands.WithLabelValues(s).Inc() },
 		Moved:   func(s string) { m.moved.WithLabelValues(s).Inc() },
-		Fleet:   func(what string, n int) { m.fleet.WithLabelValues(what).Add(float64(n)) },
+		Machines: func(n map[string]int) {
+			m.machines.Reset()
+			for state, k := range n {
+				m.machines.WithLabelValues(state).Set(float64(k))
+			}
+		},
+		Fleet: func(what string, n int) { m.fleet.WithLabelValues(what).Add(float64(n)) },
 	}
 }
 
+// Budget shows what is left of a rate budget.
+func (m *Metrics) Budget(name string, left func() float64) {
+	m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "lilaclead_budget_left", Help: "Requests left in a budget now; below 0: ahead of it.",
+		ConstLabels: prometheus.Labels{"budget": name}}, left))
+}
+
 func (m *Metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.reg, promhttp.HandlerOpts{DisableCompression: true})
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -43,6 +43,8 @@
 	Command func(outcome string)
 	Moved   func(why string)
 	Fleet   func(what string, n int)
+	// Machines is told the number of machines in each state.
+	Machines func(map[string]int)
 }
 
 // FlavorBox shares the machine types between the actors of a node.
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -175,6 +175,7 @@
 			lost++
 		}
 	}
+	t.l.Metrics.Machines(t.states())
 	// When many are silent it is rather this node that is cut off from them.
 	cutOff := silent >= 3 && silent*2 > up
 	if (cutOff && lost*2 > up || relayed >= 3 && relayed*2 > up) && t.deciding() && now.Sub(t.born) > lostAfter+t.set.Workers.LeaseS.Duration()/8 {
@@ -200,6 +201,24 @@
 	}
 }
 
+// states counts the machines in each state, for the metrics.
+func (t *term) states() map[string]int {
+	n := map[string]int{"up": 0, "booting": 0, "draining": 0, "releasing": 0}
+	for _, m := range t.machines {
+		switch {
+		case m.releasing:
+			n["releasing"]++
+		case m.drain != "":
+			n["draining"]++
+		case m.booting:
+			n["booting"]++
+		default:
+			n["up"]++
+		}
+	}
+	return n
+}
+
 // silence is how long a machine has said nothing to this term.
 func (t *term) silence(m *machine, now time.Time) time.Duration {
 	return now.Sub(later(m.seenAt, t.born))
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -63,7 +63,12 @@
 
 // Ask makes one request as a user to the i-th node.
 func (w *World) Ask(i int, method, path string, body any) (int, []byte, http.Header) {
-	return Ask(w.ctx, w.Net.Host(userIP), method, "http://"+NodeIP(i)+":8080"+path, body)
+	return Ask(w.ctx, w.host(userIP), method, "http://"+NodeIP(i)+":8080"+path, body)
+}
+
+// Operate makes one request as an operator to the i-th node.
+func (w *World) Operate(i int, method, path string, body any) (int, []byte, http.Header) {
+	return Ask(w.ctx, w.host("10.3.0.9"), method, "http://"+NodeIP(i)+":8081"+path, body)
 }
 
 // Submit plays a user: submits with retries, then polls until the job is
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -83,7 +83,7 @@
 		s.Close()
 	})
 	w.spawn(m.lease)
-	hc := &http.Client{Transport: w.Net.Host(m.ip).Transport(1, 1)}
+	hc := &http.Client{Transport: w.host(m.ip).Transport(1, 1)}
 	at := 0
 	for m.ctx.Err() == nil {
 		w.mu.Lock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -30,7 +31,8 @@
 
 // World is a deployment made of stand-ins. One lock guards it all.
 type World struct {
-	Net   *Network
+	Net   *Network // the network in memory, with its faults
+	host  func(ip string) netio.Net
 	State *State
 	Set   config.Settings
 
@@ -88,8 +90,25 @@
 	}
 }
 
-// NewWorld builds a deployment; nothing runs yet.
-func NewWorld(ctx context.Context, set config.Settings, seed uint64, start Starter) *World {
+// Loopback is the machine's own loopback network in place of the one in
+// memory: host 10.a.b.c is 127.a.b.c.
+func Loopback(string) netio.Net {
+	real := netio.Real()
+	at := func(addr string) string { return LoopbackAddr(addr) }
+	return netio.Net{
+		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return real.Dial(ctx, network, at(addr))
+		},
+		Listen: func(network, addr string) (net.Listener, error) { return real.Listen(network, at(addr)) },
+	}
+}
+
+// LoopbackAddr is where an address of the world is on the loopback network.
+func LoopbackAddr(addr string) string { return "127." + strings.TrimPrefix(addr, "10.") }
+
+// NewWorld builds a deployment; no node runs yet. Without a host function it
+// lives on its own network in memory.
+func NewWorld(ctx context.Context, set config.Settings, seed uint64, start Starter, host func(ip string) netio.Net) *World {
 	limits := map[wire.TeamID]Limit{}
 	for _, t := range set.Teams {
 		limits[t.Name] = Limit{t.CPUsMax, t.GPUsMax}
@@ -104,6 +123,9 @@
 		capacity: map[string]int{}, machines: map[wire.MachineID]*worker{}, booked: map[string][]wire.MachineID{},
 		truths: map[wire.JobID]*Truth{}, listLag: set.Cloud.ListLagS.Duration(), bootFactor: 1,
 	}
+	if w.host = host; host == nil {
+		w.host = w.Net.Host
+	}
 	for _, f := range w.flavors {
 		for _, z := range set.Zones {
 			w.capacity[offer(f.Name, z, false)] = 6
@@ -150,7 +172,7 @@
 }
 
 func (w *World) serve(at string, h http.Handler) *http.Server {
-	l, err := w.Net.listen(at)
+	l, err := w.host(hostOf(at)).Listen("tcp4", at)
 	if err != nil {
 		panic(err)
 	}
@@ -169,7 +191,7 @@
 		return nil
 	}
 	cfg := n.cfg
-	run, err := w.start(&cfg, w.Net.Host(NodeIP(i)))
+	run, err := w.start(&cfg, w.host(NodeIP(i)))
 	if err != nil {
 		return err
 	}
@@ -214,6 +236,9 @@
 	return -1
 }
 
+// Config of the i-th node.
+func (w *World) Config(i int) config.Config { return w.nodes[i].cfg }
+
 // Close ends everything.
 func (w *World) Close() {
 	for i := range w.nodes {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -105,6 +105,9 @@
 	}
 }
 
+// Left is what is left of the budgets for requests and for changes.
+func (c *Client) Left() (calls, writes float64) { return c.calls.Tokens(), c.writes.Tokens() }
+
 // Reachable tells whether the service has served this node lately: its last
 // good answer is newer than its last refusal.
 func (c *Client) Reachable() bool { return c.lastGood.Load() >= c.lastBad.Load() }
--- a/node.go
+++ b/node.go
@@ -86,6 +86,8 @@
 	met := admin.NewMetrics()
 	n.store.Observe = met.Call("state")
 	n.cloud.Observe = met.Call("cloud")
+	met.Budget("state requests", func() float64 { calls, _ := n.store.Left(); return calls })
+	met.Budget("state changes", func() float64 { _, writes := n.store.Left(); return writes })
 	n.leader = leader.New(leader.Deps{
 		Config: cfg, Net: n.net, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: met.Leader(),
 	})
--- a/world_test.go
+++ b/world_test.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"lilaclead"
+	"lilaclead/internal/admin"
 	"lilaclead/internal/config"
 	"lilaclead/internal/netio"
 	"lilaclead/internal/standin"
+	"lilaclead/internal/tuning"
 	"lilaclead/internal/wire"
 )
 
@@ -49,7 +51,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := standin.NewWorld(ctx, standin.DefaultSettings(), seed, start)
+		w := standin.NewWorld(ctx, standin.DefaultSettings(), seed, start, nil)
 		begin := time.Now()
 		for i := range 3 {
 			if err := w.Up(i); err != nil {
@@ -522,6 +524,71 @@
 	}
 }
 
+// Operators' settings: checked, guarded by their version, applied by all
+// nodes without a restart, and kept when all nodes end.
+func TestOperatorsSettings(t *testing.T) {
+	play(t, 15, func(w *standin.World, at func(time.Duration)) {
+		at(3 * time.Second)
+		ask := func(i int, method string, body any, out any) int {
+			status, raw, _ := w.Operate(i, method, "/admin/settings", body)
+			if out != nil && wire.Decode(raw, out) != nil {
+				t.Errorf("unreadable answer to %s (%d)", method, status)
+			}
+			return status
+		}
+		set := func(version uint64, k string, v any) map[string]any {
+			return map[string]any{"version": version, "set": map[string]any{k: v}}
+		}
+		var l admin.Listing
+		if status := ask(0, "GET", nil, &l); status != 200 || len(l.Settings) != len(tuning.Fields) || l.Version != 0 {
+			t.Fatalf("listing %d %+v", status, l)
+		}
+		var why wire.Reason
+		if status := ask(0, "PUT", set(0, "round.period_s", 99.0), &why); status != 400 || why.Field != "round.period_s" || why.Error != "must be 0.2 to 30" {
+			t.Errorf("out of range: %d %+v", status, why)
+		}
+		for name, body := range map[string]any{"unknown": set(0, "round.colour", 1), "type": set(0, "round.period_s", "fast"), "no version": map[string]any{"set": map[string]any{"log.level": "info"}}, "no map": 7} {
+			if status := ask(0, "PUT", body, nil); status != 400 {
+				t.Errorf("%s: %d", name, status)
+			}
+		}
+		if status := ask(1, "PUT", set(0, "round.period_s", 2), nil); status != 200 {
+			t.Errorf("set: %d", status)
+		}
+		if status := ask(2, "PUT", set(0, "round.period_s", 3), nil); status != 409 {
+			t.Errorf("set with an old version: %d", status)
+		}
+		for i := range 3 {
+			w.Kill(i)
+		}
+		for i := range 3 {
+			w.Up(i)
+		}
+		time.Sleep(8 * time.Second)
+		for i := range 3 {
+			if ask(i, "GET", nil, &l); l.Settings[3].Name != "round.period_s" || fmt.Sprint(l.Settings[3].Value) != "2" {
+				t.Errorf("node %d has %+v", i, l.Settings[3])
+			}
+		}
+		w.State.Outage(true)
+		if status := ask(0, "PUT", set(uint64(l.Version), "round.period_s", 4), nil); status != 503 {
+			t.Errorf("set in an outage: %d", status)
+		}
+		w.State.Outage(false)
+		w.Submit(array(1, 1, 100), 0)
+		at(80 * time.Second)
+		status, raw, _ := w.Operate(w.Leader(), "GET", "/metrics", nil)
+		if status != 200 || !bytes.Contains(raw, []byte("lilaclead_terms_total 1")) || !bytes.Contains(raw, []byte(`lilaclead_machines{state="up"}`)) {
+			t.Errorf("metrics: %d\n%s", status, raw)
+		}
+		var v admin.View
+		status, raw, _ = w.Operate(w.Leader(), "GET", "/admin/view", nil)
+		if status != 200 || wire.Decode(raw, &v) != nil || !v.Leads || v.Term == nil || len(v.Term.Machines) == 0 {
+			t.Errorf("view: %d %+v", status, v)
+		}
+	})
+}
+
 // What a node can't take it refuses as the page says.
 func TestBadInput(t *testing.T) {
 	play(t, 12, func(w *standin.World, at func(time.Duration)) {
