--- /dev/null
+++ b/internal/leader/write_test.go
@@ -0,0 +1,128 @@
+package leader
+
+import (
+	"context"
+	"io"
+	"log"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// desk is a term that writes to a stand-in of the state service. Its loop is
+// the test: settle runs what the helpers post until nothing happens.
+func desk(t *testing.T, f func(tm *term, m *machine, st *standin.State, settle func())) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		tm, m, a := rig(t)
+		nw := standin.NewNetwork(time.Millisecond)
+		st := standin.NewState(12, 16)
+		l, err := nw.Host("10.2.0.1").Listen("tcp4", standin.StateAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv := &http.Server{Handler: st, ErrorLog: log.New(io.Discard, "", 0)}
+		go srv.Serve(l) //nolint:errcheck // ends with Close
+		tm.l.Store = store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
+		tm.l.Mesh = peer.New("a", nil, func() peer.Self { return peer.Self{} }, nw.Host("10.0.0.1"), tm.l.Log)
+		go tm.l.Mesh.Run(ctx)
+		tm.ctx, tm.l.nonce = ctx, "this life"
+		tm.set.State.TxnOps = 12
+		tm.token = wire.Token(st.Put(store.LeadKey, store.LeadRecord{Node: "a", Nonce: "this life"}))
+		tm.first = tm.token
+		m.baton = tm.token
+		tm.drop(a, taskPending)
+		a.chunk.dirty, a.job.over = false, false
+		a.job.stamp = st.Put(store.JobKey("req-1"), store.JobRecord{Spec: a.job.spec, Status: wire.Queued})
+		f(tm, m, st, func() {
+			for range 200 {
+				tm.flush(time.Now())
+				select {
+				case g := <-tm.inbox:
+					g()
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+		})
+		cancel()
+		nw.Close()
+		srv.Close()
+		time.Sleep(5 * time.Second)
+		nw.Close()
+	})
+}
+
+func ended(tm *term) bool {
+	select {
+	case <-tm.over:
+		return true
+	default:
+		return false
+	}
+}
+
+// A launch is stored only while its job's record is the one that the leader
+// knows: a job that was cancelled meanwhile starts nothing.
+func TestLaunchGuardsItsJob(t *testing.T) {
+	desk(t, func(tm *term, m *machine, st *standin.State, settle func()) {
+		j := tm.jobs["req-1"]
+		st.Put(store.JobKey("req-1"), store.JobRecord{Spec: j.spec, Status: wire.Cancelled})
+		tm.start(j, m, time.Now())
+		settle()
+		if n := st.Keys(store.RunPrefix); len(n) != 0 || j.held != 0 || !j.cancelled {
+			t.Errorf("stored %v, held %d, cancelled %v", n, j.held, j.cancelled)
+		}
+		if past := st.Keys(store.PastKey("req-1")); len(past) != 1 || ended(tm) {
+			t.Errorf("final records %v, term over: %v", past, ended(tm))
+		}
+	})
+}
+
+// A transaction without an answer is neither repeated blindly nor taken for
+// done: a new token ends what may still come, and a look tells what was.
+func TestOutcomeUnknown(t *testing.T) {
+	for name, lose := range map[string]func(*standin.State){
+		"executed, answer lost": func(st *standin.State) { st.LoseAnswers(1) },
+		"lost before it came":   func(st *standin.State) { st.DropRequests(1) },
+	} {
+		desk(t, func(tm *term, m *machine, st *standin.State, settle func()) {
+			j, token := tm.jobs["req-1"], tm.token
+			lose(st)
+			tm.start(j, m, time.Now())
+			settle()
+			a := j.chunks[0].holds[0]
+			if a == nil || a.planned || len(st.Keys(store.RunPrefix)) != 1 || ended(tm) {
+				t.Errorf("%s: attempt %+v, stored %v, term over: %v", name, a, st.Keys(store.RunPrefix), ended(tm))
+			}
+			if tm.token <= token {
+				t.Errorf("%s: the token was not raised", name)
+			}
+			// The books still agree with what is stored.
+			tm.drop(a, taskDone)
+			settle()
+			if past := st.Keys(store.PastKey("req-1")); len(past) != 1 || ended(tm) {
+				t.Errorf("%s: final records %v, term over: %v", name, past, ended(tm))
+			}
+		})
+	}
+}
+
+// A leader whose key is another's writes nothing and stops.
+func TestLateLeaderWritesNothing(t *testing.T) {
+	desk(t, func(tm *term, m *machine, st *standin.State, settle func()) {
+		st.Put(store.LeadKey, store.LeadRecord{Node: "b", Nonce: "other"})
+		tm.start(tm.jobs["req-1"], m, time.Now())
+		settle()
+		if !ended(tm) || len(st.Keys(store.RunPrefix)) != 0 {
+			t.Errorf("term over: %v, stored %v", ended(tm), st.Keys(store.RunPrefix))
+		}
+	})
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -24,6 +24,7 @@
 	out     bool
 	refused map[string]bool // hosts that get 503
 	loseTxn int             // so many transactions are executed, and their answers lost
+	dropTxn int             // so many are lost before they are executed
 	maxOps  int
 	valueKB int
 }
@@ -78,6 +79,24 @@
 	s.mu.Unlock()
 }
 
+// DropRequests makes the next transactions vanish without effect or answer.
+func (s *State) DropRequests(n int) {
+	s.mu.Lock()
+	s.dropTxn = n
+	s.mu.Unlock()
+}
+
+// Put writes a key as some client would, for tests.
+func (s *State) Put(key string, v any) wire.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.keys[key] = &entry{v: wire.Encode(v), stamp: s.rev}
+	s.changes = append(s.changes, change{s.rev, wire.Change{Put: key, Value: wire.Encode(v), Stamp: s.rev}})
+	s.bump()
+	return s.rev
+}
+
 func (s *State) bump() {
 	close(s.wake)
 	s.wake = make(chan struct{})
@@ -248,6 +267,11 @@
 
 func (s *State) txn(w http.ResponseWriter, t *wire.Txn) {
 	s.mu.Lock()
+	if s.dropTxn > 0 {
+		s.dropTxn--
+		s.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	var failed []string
 	for _, g := range t.Guards {
 		e := s.keys[g.Key]
--- a/world_test.go
+++ b/world_test.go
@@ -272,15 +272,25 @@
 	play(t, 14, func(w *standin.World, at func(time.Duration)) {
 		s := service(1, 3)
 		at(2 * time.Second)
-		w.Submit(s, 44*time.Second)
+		w.Submit(s, 0)
 		at(44 * time.Second)
-		w.Kill(w.Leader())
-		at(120 * time.Second)
+		l := w.Leader()
+		w.Kill(l)
+		time.Sleep(300 * time.Millisecond)
+		w.Checked(func(c *standin.Checker) { c.CancelAsked(s.Spec.ID) })
+		status, raw, _ := w.Ask((l+1)%3, "POST", "/v1/jobs/"+string(s.Spec.ID)+"/cancel", nil)
+		var b wire.JobBrief
+		if status != 200 || wire.Decode(raw, &b) != nil || b.Status != wire.Cancelled || w.Leader() == (l+1)%3 {
+			t.Fatalf("cancel answered %d %+v, leader %d", status, b, w.Leader())
+		}
+		w.Checked(func(c *standin.Checker) { c.Told(s.Spec.ID, b.Status, time.Now()) })
+		at(60 * time.Second)
 		w.Checked(func(c *standin.Checker) {
-			if _, cancelled := c.Finished(); cancelled != 1 || c.On(s.Spec.ID) != 0 {
-				t.Errorf("%d cancelled, %d tasks left", cancelled, c.On(s.Spec.ID))
+			if n := c.On(s.Spec.ID); n != 0 {
+				t.Errorf("%d tasks left 15 s after the cancellation", n)
 			}
 		})
+		at(120 * time.Second)
 	})
 }
 
