Users are refused at once by a node whose state service has been silent

Cause: a node cut off from the state service kept each user's request for 1.5 s. Test: TestOutcomes.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -86,6 +86,10 @@
 // ops and errors of one request must be over within this time.
 const callTimeout = 1500 * time.Millisecond
 
+// silentFor is how long the service must have answered nothing before users
+// are refused without a try.
+const silentFor = 2 * time.Second
+
 // New makes a client. The budgets are the whole deployment's; a node takes
 // the larger half of what is left if the others take little, since mostly
 // one node leads and writes.
@@ -127,6 +131,11 @@
 			}
 		}
 	case User:
+		// A user isn't kept waiting for a service that has answered nothing
+		// for a while; the election's own polls find out when it is back.
+		if !c.Reachable() && time.Since(c.started)-time.Duration(c.lastGood.Load()) > silentFor {
+			return ErrRefused
+		}
 		if !c.calls.Allow() || writes > 0 && !c.writes.AllowN(time.Now(), min(writes, c.writes.Burst())) {
 			return ErrRefused
 		}
--- /dev/null
+++ b/internal/store/client_test.go
@@ -0,0 +1,82 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// What a caller learns of a call: refused for sure, unknown, or in conflict;
+// and a user isn't kept waiting for a service that answers nothing.
+func TestOutcomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		nw := standin.NewNetwork(time.Millisecond)
+		st := standin.NewState(12, 16)
+		c := store.New(standin.StateAddr, config.State{RPS: 100, WriteRPS: 10, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
+		if _, err := c.Get(ctx, store.Duty, "k"); !errors.Is(err, store.ErrRefused) {
+			t.Errorf("no listener: %v", err)
+		}
+		l, err := nw.Host("10.2.0.1").Listen("tcp4", standin.StateAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv := &http.Server{Handler: st}
+		go srv.Serve(l) //nolint:errcheck // ends with Close
+		put := wire.Txn{Guards: []wire.Guard{{Key: "k"}}, Writes: []wire.Write{{Put: "k", Value: wire.Encode(1)}}}
+		if _, err := c.Commit(ctx, store.Duty, put); err != nil {
+			t.Errorf("first put: %v", err)
+		}
+		var conflict *store.ConflictError
+		if _, err := c.Commit(ctx, store.Duty, put); !errors.As(err, &conflict) || !conflict.Has("k") {
+			t.Errorf("second put: %v", err)
+		}
+		if _, err := c.Get(ctx, store.Duty, "none"); !errors.Is(err, store.ErrMissing) {
+			t.Errorf("no such key: %v", err)
+		}
+		st.Outage(true)
+		if _, err := c.Commit(ctx, store.Duty, put); !errors.Is(err, store.ErrRefused) || c.Reachable() {
+			t.Errorf("outage: %v, reachable %v", err, c.Reachable())
+		}
+		st.Outage(false)
+		st.LoseAnswers(1)
+		if _, err := c.Commit(ctx, store.Duty, wire.Txn{Writes: []wire.Write{{Drop: "k"}}}); !errors.Is(err, store.ErrUnknown) {
+			t.Errorf("answer lost: %v", err)
+		}
+		if n := st.Keys("k"); len(n) != 0 {
+			t.Errorf("the lost change left %v", n)
+		}
+		nw.Cut("10.0.0.1", "10.2.0.1", true)
+		for range 2 {
+			c.Get(ctx, store.Vital, "k") //nolint:errcheck // it can't work
+		}
+		begin := time.Now()
+		if _, err := c.Get(ctx, store.User, "k"); !errors.Is(err, store.ErrRefused) || time.Since(begin) > 0 {
+			t.Errorf("a user waits %v for a silent service: %v", time.Since(begin), err)
+		}
+		nw.Cut("10.0.0.1", "10.2.0.1", false)
+		c.Get(ctx, store.Vital, "k") //nolint:errcheck // makes it known that the service is back
+		if _, err := c.Get(ctx, store.User, "k"); !errors.Is(err, store.ErrMissing) {
+			t.Errorf("after the cut: %v", err)
+		}
+		// The budget refuses users and lets vital calls pass.
+		for range 30 {
+			c.Commit(ctx, store.Vital, wire.Txn{Writes: []wire.Write{{Put: "x", Value: wire.Encode(1)}}}) //nolint:errcheck // only spends
+		}
+		if _, err := c.Commit(ctx, store.User, put); !errors.Is(err, store.ErrRefused) {
+			t.Errorf("over the budget: %v", err)
+		}
+		nw.Close()
+		srv.Close()
+		time.Sleep(3 * time.Second)
+		nw.Close()
+	})
+}
