--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -251,7 +251,9 @@
 		t.probe(m)
 	}
 	gone := !m.notice.IsZero() && now.After(m.notice.Add(time.Second)) && quiet > report(t)+time.Second
-	if (quiet > lostAfter && m.probes > 0 || gone) && !cutOff {
+	// A machine that an earlier leader used, that is in no list and says
+	// nothing has no address to probe; it is as lost as one that was probed.
+	if (quiet > lostAfter && (m.probes > 0 || m.addr == "") || gone) && !cutOff {
 		t.release(m, "silent")
 		return
 	}
--- a/internal/leader/safety_test.go
+++ b/internal/leader/safety_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	cfg := &config.Config{Settings: config.Settings{Size: 3, Workers: config.Workers{ReportS: 2, LeaseS: 16, CancelS: 41}}}
 	l := &Leader{Deps: Deps{Config: cfg, Tuning: tuning.NewBox(), Flavors: &FlavorBox{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Metrics: Metrics{Moved: func(string) {}, Waited: func(string, float64) {}, Fleet: func(string, int) {}}}}
+		Metrics: Metrics{Moved: func(string) {}, Waited: func(string, float64) {}, Fleet: func(string, int) {}, Machines: func(map[string]int) {}}}}
 	tm := newTerm(l, office{token: 50, at: time.Now(), until: time.Now().Add(time.Hour)})
 	tm.recovered = true
 	j := newJob(store.JobRecord{Spec: wire.Spec{ID: "req-1", Owner: "red", Shape: wire.Sweep, Parts: 1, CPUs: 1}, At: wire.StampOf(time.Now())}, 1)
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -202,10 +202,11 @@
 }
 
 // allHeard tells whether every machine that should be up has reported with
-// our token.
+// our token. One that is in no list or did not answer a probe is not waited
+// for: its tasks count anyway until it is known to be gone.
 func (t *term) allHeard() bool {
 	for _, m := range t.machines {
-		if !m.booting && m.baton < t.first {
+		if !m.booting && m.baton < t.first && m.addr != "" && m.probes == 0 {
 			return false
 		}
 	}
--- a/internal/leader/write_test.go
+++ b/internal/leader/write_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"lilaclead/internal/cloud"
 	"lilaclead/internal/config"
 	"lilaclead/internal/peer"
 	"lilaclead/internal/standin"
@@ -126,3 +127,28 @@
 		}
 	})
 }
+
+// A machine that vanished while nobody led is in no list and never reports
+// to the next leader: with no address to probe it must count as lost all the
+// same. (Its replicas once waited for its lease.) And the first round must
+// not wait for it either.
+func TestMachineNeverHeardOf(t *testing.T) {
+	desk(t, func(tm *term, m *machine, _ *standin.State, _ func()) {
+		tm.l.Cloud = cloud.New("10.2.0.2:8443", config.Cloud{RPS: 6}, standin.NewNetwork(0).Host("10.0.0.1"))
+		tm.listed = true
+		m.baton, m.addr, m.upAt = 0, "", time.Time{}
+		if !tm.allHeard() {
+			t.Error("the first round waits for a machine that nothing is known of")
+		}
+		time.Sleep(5 * time.Second)
+		tm.watchMachines(time.Now())
+		if m.releasing {
+			t.Error("released after 5 s")
+		}
+		time.Sleep(5 * time.Second)
+		tm.watchMachines(time.Now())
+		if !m.releasing {
+			t.Error("not released after 10 s")
+		}
+	})
+}
