--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -554,7 +554,12 @@
 	}
 	if n, r := t.spare(spareUnits); n > 0 {
 		spec := &wire.Spec{Shape: wire.Daemon, Urgency: wire.Prod, Parts: n, CPUs: r.CPUs, RAM: r.RAM}
-		out = append(out, fleet.Demand{Spec: spec, Units: n, Spare: true, Rank: 9})
+		// In one zone alone it would not serve a service that is spread.
+		left := map[wire.Zone]int{}
+		for _, z := range t.set.Zones {
+			left[z] = (n + 1) / 2
+		}
+		out = append(out, fleet.Demand{Spec: spec, Units: n, Spare: true, Rank: 9, ZoneLeft: left})
 	}
 	return out
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -341,11 +341,14 @@
 		return cmp.Or(cmp.Compare(mb.Services, ma.Services), cmp.Compare(ma.Free.CPUs, mb.Free.CPUs))
 	})
 	left := s.Spare
+	zones := map[wire.Zone]int{}
 	for _, i := range order {
 		m := &s.Machines[i]
-		n := min(left, s.SpareTakes.Units(m.Free))
+		// Half of it in one zone at most, as services that are spread need.
+		n := min(left, s.SpareTakes.Units(m.Free), (s.Spare+1)/2-zones[m.Zone])
 		m.kept = n
 		left -= n
+		zones[m.Zone] += n
 	}
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -212,13 +212,15 @@
 	mk := func(shape wire.Shape) int {
 		s := &Snapshot{
 			Teams: map[wire.TeamID]*Team{"t": {}}, Factors: Factors{1, 0.5, 60}, Spare: 2, SpareTakes: Res{1, 0, 4},
-			Machines: []Machine{{ID: "m", Free: Res{4, 0, 16}, Total: Res{4, 0, 16}}},
+			Machines: []Machine{{ID: "m", Zone: "a", Free: Res{4, 0, 16}, Total: Res{4, 0, 16}}, {ID: "n", Zone: "b", Free: Res{4, 0, 16}, Total: Res{4, 0, 16}}},
 			Jobs:     []Job{{Spec: &wire.Spec{Owner: "t", Shape: shape, Parts: 9, CPUs: 1, RAM: 4}, Pending: 9, ZoneHeld: map[wire.Zone]int{}, Weight: 1}},
 		}
 		return len(Place(s).Starts)
 	}
-	if a, d := mk(wire.Sweep), mk(wire.Daemon); a != 2 || d != 4 {
-		t.Fatalf("an array got %d units of 2, a service %d of 4", a, d)
+	// One unit stays free in each zone. (Both in one zone once left a spread
+	// service with half of its replicas for the time of a boot.)
+	if a, d := mk(wire.Sweep), mk(wire.Daemon); a != 6 || d != 8 {
+		t.Fatalf("an array got %d units of 6, a service %d of 8", a, d)
 	}
 }
 
