--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -99,6 +99,8 @@
 	ZoneHeld map[wire.Zone]int
 	WaitedS  float64
 	Weight   float64 // of one unit: priority, guarantee, deadline
+	// Avoid lists machines on which a task of the job failed.
+	Avoid map[wire.MachineID]bool
 	// Guaranteed: fits into its team's guarantee with the earlier jobs.
 	Guaranteed bool
 }
@@ -287,8 +289,8 @@
 			class = withImage
 		}
 		score := fit(j, m, take)
-		if m.Cordoned && !j.Spec.Service() {
-			score -= 100
+		if m.Cordoned && !j.Spec.Service() || j.Avoid[m.ID] {
+			score -= 100 // the last choice, whatever images it has
 		}
 		if best < 0 || score-bestScore > 50 || score-bestScore > -50 && (class < bestClass || class == bestClass && score > bestScore) {
 			best, bestScore, bestClass = mi, score, class
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -207,6 +207,23 @@
 	}
 }
 
+// A machine on which the job failed is its last choice, even with the image.
+// (A replica was once started four times on the machine that failed it.)
+func TestAvoidsWhereItFailed(t *testing.T) {
+	s := &Snapshot{
+		Teams: map[wire.TeamID]*Team{"t": {}}, Factors: Factors{1, 0.5, 60},
+		Machines: []Machine{
+			{ID: "failed", Free: Res{4, 0, 16}, Total: Res{4, 0, 16}, PullRate: 1, Services: 1, Images: map[wire.ImageID]Image{"i": Present}},
+			{ID: "cold", Free: Res{4, 0, 16}, Total: Res{4, 0, 16}, PullRate: 1},
+		},
+		Jobs: []Job{{Spec: &wire.Spec{Owner: "t", Shape: wire.Daemon, Parts: 1, CPUs: 4, RAM: 4, Bundle: "i"}, Pending: 1, ZoneHeld: map[wire.Zone]int{}, Weight: 1,
+			Avoid: map[wire.MachineID]bool{"failed": true}}},
+	}
+	if res := Place(s); len(res.Starts) != 1 || res.Starts[0].Machine != 1 {
+		t.Fatalf("starts %+v", res.Starts)
+	}
+}
+
 // Room kept for services is open to services only.
 func TestSpareRoom(t *testing.T) {
 	mk := func(shape wire.Shape) int {
