--- a/world_test.go
+++ b/world_test.go
@@ -599,6 +599,92 @@
 	})
 }
 
+// A leader cut off from its peers only goes on leading; in an outage on top
+// it must stop answering, since no majority agrees, and nothing may run twice
+// when the leases have run out.
+func TestLeaderCutFromPeers(t *testing.T) {
+	play(t, 18, func(w *standin.World, at func(time.Duration)) {
+		s, a := service(1, 3), array(2, 6, 30)
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		w.Submit(a, 0)
+		at(40 * time.Second)
+		l := w.Leader()
+		for i := range 3 {
+			if i != l {
+				w.Net.Cut(standin.NodeIP(l), standin.NodeIP(i), true)
+			}
+		}
+		at(70 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			if c.On(s.Spec.ID) != 3 || c.Again() != 0 {
+				t.Errorf("%d of 3 replicas, %d tasks started again", c.On(s.Spec.ID), c.Again())
+			}
+		})
+		if w.Leader() != l {
+			t.Error("the leader changed")
+		}
+		w.State.Outage(true)
+		at(95 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			if n := c.On(s.Spec.ID); n != 0 {
+				t.Errorf("%d replicas outlive their leases without a majority", n)
+			}
+		})
+		w.State.Outage(false)
+		at(180 * time.Second)
+		mustFinish(t, w, a)
+	})
+}
+
+// The leader ends in the middle of an outage.
+func TestLeaderEndsInAnOutage(t *testing.T) {
+	play(t, 19, func(w *standin.World, at func(time.Duration)) {
+		s, a := service(1, 3), array(2, 6, 30)
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		w.Submit(a, 0)
+		at(40 * time.Second)
+		w.State.Outage(true)
+		at(45 * time.Second)
+		l := w.Leader()
+		w.Kill(l)
+		at(51 * time.Second)
+		w.Up(l)
+		at(58 * time.Second)
+		w.State.Outage(false)
+		at(180 * time.Second)
+		mustFinish(t, w, a)
+		w.Checked(func(c *standin.Checker) {
+			if c.On(s.Spec.ID) != 3 {
+				t.Errorf("%d of 3 replicas", c.On(s.Spec.ID))
+			}
+		})
+	})
+}
+
+// The largest job that users may submit: its progress stays within the
+// limits of the state service, across a change of leader.
+func TestLargestJob(t *testing.T) {
+	play(t, 17, func(w *standin.World, at func(time.Duration)) {
+		big, small := array(1, wire.MaxParts, 3), array(2, 4, 5)
+		big.Spec.CPUs, big.Spec.RAM = 0.5, 1
+		at(2 * time.Second)
+		w.Submit(big, 0)
+		at(40 * time.Second)
+		w.Kill(w.Leader())
+		at(50 * time.Second)
+		w.Submit(small, 0)
+		at(90 * time.Second)
+		mustFinish(t, w, small)
+		status, raw, _ := w.Ask(w.Leader(), "GET", "/v1/jobs/req-000001", nil)
+		var s wire.JobState
+		if status != 200 || wire.Decode(raw, &s) != nil || s.Status != wire.Running || s.Done < 500 {
+			t.Errorf("%d %+v", status, s)
+		}
+	})
+}
+
 // What a node can't take it refuses as the page says.
 func TestBadInput(t *testing.T) {
 	play(t, 12, func(w *standin.World, at func(time.Duration)) {
