--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,96 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/julienschmidt/httprouter"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/netio"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+func rig() (*Intake, http.Handler) {
+	set := &config.Settings{Teams: []config.Team{{Name: "red"}}, Limits: config.Limits{FDLimit: 900}}
+	away := netio.Net{Dial: func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+	}}
+	st := store.New("10.2.0.1:2379", config.State{RPS: 100, WriteRPS: 100, TxnOps: 12, ValueKB: 16}, 1, away)
+	in := New(set, st, func() []wire.Flavor { return nil }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	r := httprouter.New()
+	in.Routes(r)
+	return in, r
+}
+
+// A full stage refuses at once, and says when to come back.
+func TestFullStage(t *testing.T) {
+	in, h := rig()
+	for range cap(in.stage) {
+		in.stage <- struct{}{}
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("GET", "/v1/jobs/req-1", nil))
+	if w.Code != http.StatusTooManyRequests || w.Header().Get("Retry-After") == "" {
+		t.Errorf("answered %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+	}
+	<-in.stage
+	w = httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("GET", "/v1/jobs/req-1", nil))
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("with room, and the state service away: %d", w.Code)
+	}
+	if len(in.stage) != cap(in.stage)-1 {
+		t.Error("the stage's place was not given back")
+	}
+}
+
+// A final state is answered without the state service, for ever; what can't
+// be read is 503 and never 404; what can't be judged yet is 503.
+func TestAnswersWithoutTheStateService(t *testing.T) {
+	in, h := rig()
+	in.finals.put(wire.JobState{ID: "req-1", Status: wire.Done, Done: 3})
+	in.finals.put(wire.JobState{ID: "req-2", Status: wire.Running})
+	ask := func(method, path string, body []byte) int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader(body)))
+		return w.Code
+	}
+	if got := ask("GET", "/v1/jobs/req-1", nil); got != 200 {
+		t.Errorf("a final state: %d", got)
+	}
+	if got := ask("POST", "/v1/jobs/req-1/cancel", nil); got != 200 {
+		t.Errorf("cancel of a finished job: %d", got)
+	}
+	if got := ask("GET", "/v1/jobs/req-2", nil); got != 503 {
+		t.Errorf("a state that may change was remembered: %d", got)
+	}
+	spec := wire.Encode(map[string]any{"nameId": "req-3", "lane": "l", "owner": "red", "shape": "sweep", "urgency": "prod", "parts": 2, "cpus": 4.0, "cards": 0.0,
+		"ramGb": 1.0, "bundle": "b", "imageGb": 0.5, "samePlace": false, "apart": false, "standby": false, "expectedS": 1.0, "snapshotEveryS": 0.0, "snapshotS": 0.0})
+	if got := ask("POST", "/v1/jobs", spec); got != 503 {
+		t.Errorf("a submission that can't be judged: %d", got)
+	}
+}
+
+// The memory of final states is bounded and keeps the newest.
+func TestFinalsAreBounded(t *testing.T) {
+	var f finals
+	id := func(n int) wire.JobID { return wire.JobID("req-" + string(rune('0'+n%10)) + wire.Task{Index: n}.String()[1:]) }
+	for n := range 5 * finalsMost {
+		f.put(wire.JobState{ID: id(n), Status: wire.Done})
+	}
+	if len(f.young)+len(f.old) > 2*finalsMost {
+		t.Errorf("%d states are kept", len(f.young)+len(f.old))
+	}
+	if _, ok := f.get(id(5*finalsMost - 1)); !ok {
+		t.Error("the newest is gone")
+	}
+}
