--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 
 	"github.com/julienschmidt/httprouter"
@@ -83,7 +84,7 @@
 // The memory of final states is bounded and keeps the newest.
 func TestFinalsAreBounded(t *testing.T) {
 	var f finals
-	id := func(n int) wire.JobID { return wire.JobID("req-" + string(rune('0'+n%10)) + wire.Task{Index: n}.String()[1:]) }
+	id := func(n int) wire.JobID { return wire.JobID("req-" + strconv.Itoa(n)) }
 	for n := range 5 * finalsMost {
 		f.put(wire.JobState{ID: id(n), Status: wire.Done})
 	}
