--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,7 +18,6 @@
 	Spot  bool
 	Total placement.Res
 	Price float64 // per hour, now
-	BootS float64
 	// PullRate in GB a second.
 	PullRate float64
 	// Room is how many more may be asked for at once.
@@ -60,8 +59,6 @@
 type Demand struct {
 	Spec  *wire.Spec
 	Units int
-	// Spare marks room for units that have not come yet.
-	Spare bool
 	// Rank orders demands, the highest first.
 	Rank float64
 	// ZoneLeft is how many units each zone may still take; nil: any number.
@@ -108,11 +105,9 @@
 	zone     wire.Zone
 	spot     bool
 	free     placement.Res
-	total    placement.Res
 	services bool
 	idle     bool
 	used     bool
-	price    float64
 	soon     []Soon
 }
 
@@ -127,7 +122,7 @@
 func Make(s *Snapshot) Plan {
 	bins := make([]bin, len(s.Machines))
 	for i, m := range s.Machines {
-		bins[i] = bin{m.Kit, m.Zone, m.Spot, m.Free, m.Total, m.Services > 0, m.Idle, !m.Idle && !m.Booting, m.Price, slices.Clone(m.Soon)}
+		bins[i] = bin{m.Kit, m.Zone, m.Spot, m.Free, m.Services > 0, m.Idle, !m.Idle && !m.Booting, slices.Clone(m.Soon)}
 	}
 	offers := slices.Clone(s.Offers)
 	demands := slices.Clone(s.Demands)
@@ -223,7 +218,7 @@
 			o := &offers[best]
 			o.Room--
 			wants = append(wants, want{best, d.Spec.ID})
-			bins = append(bins, bin{kit: o.Kit, zone: o.Zone, spot: o.Spot, free: o.Total, total: o.Total, price: o.Price})
+			bins = append(bins, bin{kit: o.Kit, zone: o.Zone, spot: o.Spot, free: o.Total})
 			settle(&bins[len(bins)-1])
 		}
 	}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -44,15 +44,6 @@
 	cloudDown time.Time // no plans before
 	downWait  time.Duration
 	orphans   []wire.Guard
-	loads     []load
-	// boots are the boot times seen per type, relative to what was announced.
-	released int
-}
-
-// load is the demand of services at a time.
-type load struct {
-	at    time.Time
-	units int
 }
 
 func (f *fleetState) init() {
@@ -462,7 +453,7 @@
 					continue // one unresolved booking for each
 				}
 				out = append(out, fleet.Offer{Kit: f.Name, Zone: z, Spot: spot, Total: placement.Res{CPUs: f.CPUs, Cards: f.Cards, RAM: f.RAM},
-					Price: f.Price(spot), BootS: float64(f.ReadyS), PullRate: f.PullGBPerS, Room: 8})
+					Price: f.Price(spot), PullRate: f.PullGBPerS, Room: 8})
 			}
 		}
 	}
@@ -559,7 +550,7 @@
 		for _, z := range t.set.Zones {
 			left[z] = (n + 1) / 2
 		}
-		out = append(out, fleet.Demand{Spec: spec, Units: n, Spare: true, Rank: 9, ZoneLeft: left})
+		out = append(out, fleet.Demand{Spec: spec, Units: n, Rank: 9, ZoneLeft: left})
 	}
 	return out
 }
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -197,7 +197,7 @@
 	sure := t.guaranteed()
 	kept := js[:0]
 	for _, j := range js {
-		pj := placement.Job{Spec: &j.spec, Pending: j.pending(), Held: j.held, ZoneHeld: map[wire.Zone]int{},
+		pj := placement.Job{Spec: &j.spec, Pending: j.pending(), ZoneHeld: map[wire.Zone]int{},
 			WaitedS: now.Sub(j.at).Seconds(), Avoid: j.failedOn, Guaranteed: sure[j.spec.ID], Weight: t.weight(j, sure[j.spec.ID], now)}
 		if j.fails > 0 {
 			pj.Pending = min(pj.Pending, max(1, 2-j.held)) // try a suspect job with little
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -95,7 +95,6 @@
 type Job struct {
 	Spec     *wire.Spec
 	Pending  int
-	Held     int // tasks that may be on a machine
 	ZoneHeld map[wire.Zone]int
 	WaitedS  float64
 	Weight   float64 // of one unit: priority, guarantee, deadline
@@ -226,7 +225,6 @@
 		m.Free = m.Free.Minus(take)
 		s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
 		j.ZoneHeld[m.Zone]++
-		j.Held++
 		queue[top].left--
 		j.Pending--
 		if j.Spec.Service() {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -142,7 +142,7 @@
 			held["b"] = rapid.IntRange(0, 1).Draw(t, "held")
 		}
 		// Weights differ by job, so that the order of jobs is decided.
-		s.Jobs = append(s.Jobs, Job{Spec: sp, Pending: parts - held["b"], Held: held["b"], ZoneHeld: held,
+		s.Jobs = append(s.Jobs, Job{Spec: sp, Pending: parts - held["b"], ZoneHeld: held,
 			WaitedS: float64(rapid.IntRange(0, 90).Draw(t, "waited")), Weight: 1 + 0.137*float64(i)})
 	}
 	return s
