--- a/cmd/lilaclead/main.go
+++ b/cmd/lilaclead/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -18,6 +17,7 @@
 
 	"lilaclead"
 	"lilaclead/internal/admin"
+	"lilaclead/internal/netio"
 	"lilaclead/internal/wire"
 )
 
@@ -91,24 +91,11 @@
 func call(method, addr string, in, out any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	var body []byte
-	if in != nil {
-		body = wire.Encode(in)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/admin/settings", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	raw, err := wire.ReadBody(resp.Body, 1<<20)
+	status, raw, _, err := netio.Call(ctx, http.DefaultClient, method, "http://"+addr+"/admin/settings", in, 1<<20)
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
+	if status != http.StatusOK {
 		var r wire.Reason
 		if wire.Decode(raw, &r) != nil {
 			r.Error = "unreadable answer"
@@ -116,7 +103,7 @@
 		if r.Field != "" {
 			r.Error = r.Field + ": " + r.Error
 		}
-		return fmt.Errorf("%s (%d)", r.Error, resp.StatusCode)
+		return fmt.Errorf("%s (%d)", r.Error, status)
 	}
 	return wire.Decode(raw, out)
 }
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -3,7 +3,6 @@
 package cloud
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -69,31 +68,14 @@
 	if err := c.budget.Wait(ctx); err != nil {
 		return ErrBusy
 	}
-	var payload []byte
-	if body != nil {
-		payload = wire.Encode(body)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(payload))
-	if err != nil {
-		return ErrInvalid
-	}
-	if body != nil {
-		req.Header.Set("Content-Type", wire.ContentType)
-	}
-	req.GetBody = nil
-	resp, err := c.http.Do(req)
+	status, raw, _, err := netio.Call(ctx, c.http, method, c.base+path, body, 4<<20)
 	if err != nil {
 		if wire.NotSent(err) {
 			return ErrBusy
 		}
 		return ErrUnknown
 	}
-	defer resp.Body.Close()
-	raw, err := wire.ReadBody(resp.Body, 4<<20)
-	if err != nil {
-		return ErrUnknown
-	}
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusOK:
 		if out != nil {
 			if err := wire.Decode(raw, out); err != nil {
@@ -112,7 +94,7 @@
 	case http.StatusBadRequest:
 		return ErrInvalid
 	default:
-		return fmt.Errorf("%w: status %d", ErrUnknown, resp.StatusCode)
+		return fmt.Errorf("%w: status %d", ErrUnknown, status)
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -106,7 +106,6 @@
 	spot     bool
 	free     placement.Res
 	services bool
-	idle     bool
 	used     bool
 	soon     []Soon
 }
@@ -122,7 +121,7 @@
 func Make(s *Snapshot) Plan {
 	bins := make([]bin, len(s.Machines))
 	for i, m := range s.Machines {
-		bins[i] = bin{m.Kit, m.Zone, m.Spot, m.Free, m.Services > 0, m.Idle, !m.Idle && !m.Booting, slices.Clone(m.Soon)}
+		bins[i] = bin{m.Kit, m.Zone, m.Spot, m.Free, m.Services > 0, !m.Idle && !m.Booting, slices.Clone(m.Soon)}
 	}
 	offers := slices.Clone(s.Offers)
 	demands := slices.Clone(s.Demands)
@@ -209,12 +208,12 @@
 					best, bestCost = i, cost
 				}
 			}
-			if best >= 0 && !d.Spec.Service() && s.Cheapest != nil && bestCost > s.DearLimit*s.Cheapest(d.Spec) {
-				break // it is better late than at that price
-			}
 			if best < 0 {
 				break
 			}
+			if !d.Spec.Service() && s.Cheapest != nil && bestCost > s.DearLimit*s.Cheapest(d.Spec) {
+				break // it is better late than at that price
+			}
 			o := &offers[best]
 			o.Room--
 			wants = append(wants, want{best, d.Spec.ID})
@@ -280,7 +279,6 @@
 		waste float64
 	}
 	var cands []candidate
-	units := func(i int, unit placement.Res) int { return unit.Units(bins[i].free) }
 	for i, m := range s.Machines {
 		if m.Booting || m.Services > 0 || m.Unit.CPUs <= 0 || m.Idle {
 			continue
@@ -296,9 +294,8 @@
 	taken := 0
 	for _, c := range cands {
 		m := &s.Machines[c.i]
-		need := 0
 		load := m.Total.Minus(bins[c.i].free)
-		need = int(max(load.CPUs/m.Unit.CPUs, load.RAM/max(0.001, m.Unit.RAM)) + 0.999)
+		need := int(max(load.CPUs/m.Unit.CPUs, load.RAM/max(0.001, m.Unit.RAM)) + 0.999)
 		room := 0
 		for i := range s.Machines {
 			if i == c.i || out[i] || s.Machines[i].Booting || s.Machines[i].Idle && !bins[i].used {
@@ -307,7 +304,7 @@
 			if s.Machines[i].Services > 0 && !s.Machines[i].Spot && bins[i].services && s.Machines[i].Unit.CPUs == 0 {
 				continue // a services' machine is no place for arrays
 			}
-			room += units(i, m.Unit)
+			room += m.Unit.Units(bins[i].free)
 		}
 		if room-taken > need {
 			taken += need
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -165,11 +165,12 @@
 		wire.Refuse(w, http.StatusServiceUnavailable, "no leader known", 1)
 		return
 	}
-	l.serve(r.Context(), w, t, hello{rep: rep, reply: make(chan *wire.Orders, 1)})
+	l.serve(r.Context(), w, t, rep, false)
 }
 
 // serve has the term's loop answer a report.
-func (l *Leader) serve(ctx context.Context, w http.ResponseWriter, t *term, ask hello) {
+func (l *Leader) serve(ctx context.Context, w http.ResponseWriter, t *term, rep wire.Report, relayed bool) {
+	ask := hello{rep: rep, relayed: relayed, reply: make(chan *wire.Orders, 1)}
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	select {
@@ -223,5 +224,5 @@
 		wire.Refuse(w, http.StatusServiceUnavailable, "does not lead", 1)
 		return
 	}
-	l.serve(r.Context(), w, t, hello{rep: rep, relayed: true, reply: make(chan *wire.Orders, 1)})
+	l.serve(r.Context(), w, t, rep, true)
 }
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -107,7 +107,6 @@
 		}
 		known := t.machines[h.Name] != nil
 		m := t.machine(h.Name)
-		m.listed = now
 		if !known {
 			m.rentedAt = now.Add(-h.Age.Duration())
 			m.booting = h.State == wire.HostStarting
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -1,11 +1,11 @@
 package leader
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"time"
 
+	"lilaclead/internal/netio"
 	"lilaclead/internal/placement"
 	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
@@ -32,7 +32,6 @@
 	answered time.Time // last answer to a report of it
 	usedAt   time.Time // last time that a task was on it
 	upAt     time.Time // first report in this term
-	listed   time.Time // last seen in a machine list
 	failed   bool      // the list says that it has stopped by itself
 
 	tasks  map[wire.Task]*attempt
@@ -43,8 +42,7 @@
 	lost      lostCommand // the last launches that were never answered
 	busy      bool        // a direct command is under way
 	probes    int         // direct tries without an answer since seenAt
-	probing   bool
-	drain     string // why it takes nothing new; empty: it does
+	drain     string      // why it takes nothing new; empty: it does
 	releasing bool
 	cordoned  bool // see fleet.Plan
 	fullUntil time.Time
@@ -372,18 +370,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2500*time.Millisecond)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+addr+"/commands", bytes.NewReader(wire.Encode(cmd)))
-	if err != nil {
-		return nil, 0, err
-	}
-	req.Header.Set("Content-Type", wire.ContentType)
-	req.GetBody = nil
-	resp, err := l.direct.Do(req)
-	if err != nil {
-		return nil, 0, err
-	}
-	defer resp.Body.Close()
-	raw, err := wire.ReadBody(resp.Body, 1<<20)
+	status, raw, _, err := netio.Call(ctx, l.direct, "POST", "http://"+addr+"/commands", cmd, 1<<20)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -391,7 +378,7 @@
 	if err := wire.Decode(raw, &rep); err != nil {
 		return nil, 0, err
 	}
-	return &rep, resp.StatusCode, nil
+	return &rep, status, nil
 }
 
 // probe asks a worker for its report and shows it our token.
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -98,7 +97,7 @@
 		// The job is worth something only when all of it is done: a unit of
 		// a job with little left brings more.
 		work := float64(j.spec.Parts-j.done) * j.spec.CPUs * max(1, need)
-		w *= math.Pow(1000/(work+50), 1)
+		w *= 1000 / (work + 50)
 		switch slack := t.slack(j, now); {
 		case slack < -need/2:
 			w *= 0.1 // late whatever we do
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -3,10 +3,13 @@
 package netio
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"time"
+
+	"lilaclead/internal/wire"
 )
 
 // Net dials and listens.
@@ -33,3 +36,28 @@
 		DisableCompression:  true,
 	}
 }
+
+// Call makes one request with a CBOR body (none if nil; bytes go as they
+// are) and reads the whole answer of at most most bytes. It never sends a
+// request twice by itself: its caller decides on retries.
+func Call(ctx context.Context, hc *http.Client, method, url string, body any, most int64) (status int, answer []byte, h http.Header, err error) {
+	raw, plain := body.([]byte)
+	if body != nil && !plain {
+		raw = wire.Encode(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", wire.ContentType)
+	}
+	req.GetBody = nil
+	resp, err := hc.Do(req)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err = wire.ReadBody(resp.Body, most)
+	return resp.StatusCode, answer, resp.Header, err
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -5,7 +5,6 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -316,17 +315,8 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, X)
 		defer cancel()
-		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+o.Addr+path, bytes.NewReader(wire.Encode(body)))
-		if err != nil {
-			return 0, nil, err
-		}
-		resp, err := m.client.Do(req)
-		if err != nil {
-			return 0, nil, err
-		}
-		defer resp.Body.Close()
-		raw, err := wire.ReadBody(resp.Body, wire.MaxBody)
-		return resp.StatusCode, raw, err
+		status, raw, _, err := netio.Call(ctx, m.client, "POST", "http://"+o.Addr+path, body, wire.MaxBody)
+		return status, raw, err
 	}
 	return 0, nil, errors.New("no such node")
 }
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -273,24 +273,36 @@
 
 func (c *conn) SetWriteDeadline(time.Time) error { return nil }
 
-// Reset breaks every connection of a host, as its end does.
-func (n *Network) Reset(ip string) {
+// matching lists the open connections that pass the test.
+func (n *Network) matching(which func(*conn) bool) []*conn {
 	n.mu.Lock()
-	var all []*conn
+	defer n.mu.Unlock()
+	var out []*conn
 	for c := range n.conns {
-		if hostOf(string(c.local)) == ip || hostOf(string(c.remote)) == ip {
-			all = append(all, c)
+		if which(c) {
+			out = append(out, c)
 		}
 	}
-	n.mu.Unlock()
-	for _, c := range all {
-		for _, p := range []*pipe{c.in, c.out} {
-			p.mu.Lock()
-			p.reset = true
-			p.change()
-			p.mu.Unlock()
-		}
-		c.Close()
+	return out
+}
+
+func every(*conn) bool { return true }
+
+// shut ends a connection after marking both of its directions.
+func (c *conn) shut(mark func(*pipe)) {
+	for _, p := range []*pipe{c.in, c.out} {
+		p.mu.Lock()
+		mark(p)
+		p.change()
+		p.mu.Unlock()
+	}
+	c.Close()
+}
+
+// Reset breaks every connection of a host, as its end does.
+func (n *Network) Reset(ip string) {
+	for _, c := range n.matching(func(c *conn) bool { return hostOf(string(c.local)) == ip || hostOf(string(c.remote)) == ip }) {
+		c.shut(func(p *pipe) { p.reset = true })
 	}
 }
 
@@ -306,13 +318,9 @@
 func (n *Network) Hold(from, to string, hold bool) {
 	n.mu.Lock()
 	n.held[[2]string{from, to}] = hold
-	var all []*conn
-	for c := range n.conns {
-		all = append(all, c)
-	}
 	n.mu.Unlock()
 	if !hold {
-		for _, c := range all {
+		for _, c := range n.matching(every) {
 			c.in.arrive()
 			c.out.arrive()
 		}
@@ -327,19 +335,7 @@
 
 // Close ends every connection.
 func (n *Network) Close() {
-	n.mu.Lock()
-	var all []*conn
-	for c := range n.conns {
-		all = append(all, c)
-	}
-	n.mu.Unlock()
-	for _, c := range all {
-		for _, p := range []*pipe{c.in, c.out} {
-			p.mu.Lock()
-			p.closed = true
-			p.change()
-			p.mu.Unlock()
-		}
-		c.Close()
+	for _, c := range n.matching(every) {
+		c.shut(func(p *pipe) { p.closed = true })
 	}
 }
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"strconv"
@@ -39,26 +38,11 @@
 	defer tr.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	var raw []byte
-	if b, ok := body.([]byte); ok {
-		raw = b
-	} else if body != nil {
-		raw = wire.Encode(body)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
-	if err != nil {
-		return 0, nil, nil
-	}
-	resp, err := (&http.Client{Transport: tr}).Do(req)
-	if err != nil {
-		return 0, nil, nil
-	}
-	defer resp.Body.Close()
-	out, err := wire.ReadBody(resp.Body, 1<<20)
+	status, out, h, err := netio.Call(ctx, &http.Client{Transport: tr}, method, url, body, 1<<20)
 	if err != nil {
 		return 0, nil, nil
 	}
-	return resp.StatusCode, out, resp.Header
+	return status, out, h
 }
 
 // Ask makes one request as a user to the i-th node.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,11 +1,11 @@
 package standin
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"time"
 
+	"lilaclead/internal/netio"
 	"lilaclead/internal/wire"
 )
 
@@ -132,20 +132,11 @@
 func (m *worker) post(hc *http.Client, url string, v any) (int, []byte) {
 	ctx, cancel := context.WithTimeout(m.ctx, 4*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, "POST", url, bytes.NewReader(wire.Encode(v)))
+	status, raw, _, err := netio.Call(ctx, hc, "POST", url, v, wire.MaxBody)
 	if err != nil {
 		return 0, nil
 	}
-	resp, err := hc.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	raw, err := wire.ReadBody(resp.Body, wire.MaxBody)
-	if err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, raw
+	return status, raw
 }
 
 // obey takes the answer of a report that was sent in the given session.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -3,7 +3,6 @@
 package store
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -156,22 +155,8 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var rd *bytes.Reader
-	if body != nil {
-		rd = bytes.NewReader(wire.Encode(body))
-	} else {
-		rd = bytes.NewReader(nil)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
-	if err != nil {
-		return 0, fmt.Errorf("%w: %v", ErrInvalid, err)
-	}
-	if body != nil {
-		req.Header.Set("Content-Type", wire.ContentType)
-	}
-	// net/http must not send a change twice by itself: we decide on retries.
-	req.GetBody = nil
-	resp, err := hc.Do(req)
+	var raw []byte
+	status, raw, _, err = netio.Call(ctx, hc, method, c.base+path, body, 8<<20)
 	if err != nil {
 		c.lastBad.Store(int64(time.Since(c.started)))
 		if wire.NotSent(err) {
@@ -179,13 +164,7 @@
 		}
 		return 0, ErrUnknown
 	}
-	defer resp.Body.Close()
-	raw, err := wire.ReadBody(resp.Body, 8<<20)
-	if err != nil {
-		c.lastBad.Store(int64(time.Since(c.started)))
-		return 0, ErrUnknown
-	}
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusOK, http.StatusNotFound, http.StatusConflict:
 		c.lastGood.Store(int64(time.Since(c.started)))
 		if out != nil && len(raw) > 0 {
@@ -193,18 +172,18 @@
 				return 0, fmt.Errorf("%w: bad answer: %v", ErrUnknown, err)
 			}
 		}
-		return resp.StatusCode, nil
+		return status, nil
 	case http.StatusTooManyRequests:
-		return resp.StatusCode, ErrRefused
+		return status, ErrRefused
 	case http.StatusServiceUnavailable:
 		c.lastBad.Store(int64(time.Since(c.started)))
-		return resp.StatusCode, ErrRefused
+		return status, ErrRefused
 	case http.StatusGone:
-		return resp.StatusCode, ErrTooOld
+		return status, ErrTooOld
 	case http.StatusBadRequest:
-		return resp.StatusCode, ErrInvalid
+		return status, ErrInvalid
 	default:
-		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrUnknown, resp.StatusCode)
+		return status, fmt.Errorf("%w: status %d", ErrUnknown, status)
 	}
 }
 
