--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -43,13 +43,13 @@
 const callTimeout = 4 * time.Second
 
 // New makes a client. Only a leader makes more than a call a minute, so a
-// node may use most of the budget.
+// node may use most of the budget, and of the bursts of two seconds' worth.
 func New(addr string, s config.Cloud, nw netio.Net) *Client {
-	own := max(0.5, s.RPS*0.75)
+	own := max(0.5, s.RPS*0.85)
 	return &Client{
 		base:    "http://" + addr,
 		http:    &http.Client{Transport: nw.Transport(4, 4)},
-		budget:  rate.NewLimiter(rate.Limit(own), max(1, int(own))),
+		budget:  rate.NewLimiter(rate.Limit(own), max(1, int(1.5*own))),
 		Observe: func(string, string, time.Duration) {},
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -131,6 +131,11 @@
 		id    wire.JobID
 	}
 	var wants []want
+	var order []int // a buffer for the bins that a demand may use
+	inZone := map[wire.Zone]int{}
+	for i := range bins {
+		inZone[bins[i].zone]++
+	}
 	for di := range demands {
 		d := &demands[di]
 		take := placement.Of(d.Spec)
@@ -154,9 +159,11 @@
 				d.ZoneLeft[b.zone] -= n
 			}
 		}
-		order := make([]int, len(bins))
-		for i := range order {
-			order[i] = i
+		order = order[:0]
+		for i := range bins {
+			if take.Fits(bins[i].free) && bins[i].allowed(d.Spec) {
+				order = append(order, i)
+			}
 		}
 		// Fill what is in use before what stands idle, the cheap before the
 		// dear, the fuller before the emptier.
@@ -189,7 +196,7 @@
 			settle(&bins[i])
 		}
 		if !d.Spec.Service() {
-			left -= waitFor(bins, order, d, take, left)
+			left -= waitFor(bins, d, take, left)
 		}
 		for left > 0 && len(wants) < s.MaxRents {
 			best, bestCost := -1, 0.0
@@ -203,7 +210,7 @@
 				cost := o.Price / float64(n)
 				// Prefer the zone that has fewer machines, so that a zone's
 				// loss takes less with it.
-				cost *= 1 + 0.01*float64(inZone(bins, o.Zone))
+				cost *= 1 + 0.4*float64(inZone[o.Zone])/float64(len(bins)+20)
 				if best < 0 || cost < bestCost {
 					best, bestCost = i, cost
 				}
@@ -218,6 +225,7 @@
 			o.Room--
 			wants = append(wants, want{best, d.Spec.ID})
 			bins = append(bins, bin{kit: o.Kit, zone: o.Zone, spot: o.Spot, free: o.Total})
+			inZone[o.Zone]++
 			settle(&bins[len(bins)-1])
 		}
 	}
@@ -244,11 +252,14 @@
 
 // waitFor counts the units that room which running tasks will free in time
 // can take, and takes it.
-func waitFor(bins []bin, order []int, d *Demand, take placement.Res, left int) int {
+func waitFor(bins []bin, d *Demand, take placement.Res, left int) int {
 	got := 0
-	for _, i := range order {
+	for i := range bins {
 		b := &bins[i]
-		if !b.allowed(d.Spec) {
+		if got == left {
+			break
+		}
+		if len(b.soon) == 0 || b.soon[0].InS > d.SlackS || !b.allowed(d.Spec) {
 			continue
 		}
 		// Neighbouring tasks of a machine may have to end together to make
@@ -314,13 +325,3 @@
 	}
 	return ids
 }
-
-func inZone(bins []bin, z wire.Zone) int {
-	n := 0
-	for i := range bins {
-		if bins[i].zone == z {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/leader/faults.go
+++ b/internal/leader/faults.go
@@ -8,21 +8,23 @@
 )
 
 // runStats keeps the last run times of a job's tasks.
-type runStats struct{ s []float64 }
+type runStats struct {
+	s   []float64
+	mid float64
+}
 
 func (r *runStats) add(v float64) {
 	r.s = append(r.s, v)
 	if len(r.s) > 15 {
 		r.s = r.s[1:]
 	}
-}
-
-func (r *runStats) median() float64 {
 	c := slices.Clone(r.s)
 	slices.Sort(c)
-	return c[len(c)/2]
+	r.mid = c[len(c)/2]
 }
 
+func (r *runStats) median() float64 { return r.mid }
+
 // slowStats counts completions of a machine against its peers'.
 type slowStats struct{ slow, fine int }
 
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -18,6 +18,16 @@
 	"lilaclead/internal/wire"
 )
 
+const (
+	// maxBooking and maxRelease are the cloud's bounds for one request.
+	maxBooking = 50
+	maxRelease = 100
+	// offerRoom is what one plan asks of an offer at most: two bookings.
+	offerRoom = 2 * maxBooking
+	// maxRents bounds one plan's rentals: some seconds' worth of calls.
+	maxRents = 8 * maxBooking
+)
+
 // offerID names what can be rented.
 type offerID struct {
 	kit  wire.Kit
@@ -44,6 +54,8 @@
 	cloudDown time.Time // no plans before
 	downWait  time.Duration
 	orphans   []wire.Guard
+	toRelease []*machine // not yet asked for
+	releases  bool       // a request to release is under way
 }
 
 func (f *fleetState) init() {
@@ -116,8 +128,8 @@
 			if age := now.Add(-h.Age.Duration()); age.Before(m.rentedAt) {
 				m.rentedAt = age
 			}
-			if h.State == wire.HostRunning && t.recovered && m.baton < t.first && m.probes == 0 && !m.releasing {
-				t.probe(m)
+			if h.State == wire.HostRunning && m.baton < t.first && m.probes == 0 && !m.releasing {
+				t.probed = false
 			}
 		}
 		if h.State == wire.HostFailed && !m.failed {
@@ -324,15 +336,38 @@
 	}
 	t.log().Info("releases", "machine", m.id, "kit", m.kit, "zone", m.zone, "spot", m.spot, "why", why, "tasks", len(m.tasks), "age", time.Since(m.rentedAt))
 	t.l.Metrics.Fleet("released", 1)
+	t.fleet.toRelease = append(t.fleet.toRelease, m)
+	t.sendReleases()
+}
+
+// sendReleases has one release request under way at a time; what comes
+// meanwhile shares the next one.
+func (t *term) sendReleases() {
+	if t.fleet.releases || len(t.fleet.toRelease) == 0 {
+		return
+	}
+	n := min(len(t.fleet.toRelease), maxRelease)
+	ms := t.fleet.toRelease[:n:n]
+	t.fleet.toRelease, t.fleet.releases = t.fleet.toRelease[n:], true
+	ids := make([]wire.MachineID, n)
+	for i, m := range ms {
+		ids[i] = m.id
+	}
 	go func() {
 		wait := 500 * time.Millisecond
 		for t.ctx.Err() == nil {
-			err := t.l.Cloud.Release(t.ctx, []wire.MachineID{m.id})
+			err := t.l.Cloud.Release(t.ctx, ids)
 			if err == nil {
-				t.post(func() { t.wasReleased(m) })
+				t.post(func() {
+					for _, m := range ms {
+						t.wasReleased(m)
+					}
+					t.fleet.releases = false
+					t.sendReleases()
+				})
 				return
 			}
-			t.log().Debug("release not answered", "machine", m.id, "err", err)
+			t.log().Debug("release not answered", "machines", len(ids), "err", err)
 			select {
 			case <-t.ctx.Done():
 			case <-time.After(wait + rand.N(wait/2)):
@@ -370,7 +405,7 @@
 	// What an earlier leader rented last is not listed yet.
 	lag := t.set.Cloud.ListLagS.Duration()
 	v := t.l.Tuning.Get()
-	s := &fleet.Snapshot{MaxRents: 16, DearLimit: v.DearLimit,
+	s := &fleet.Snapshot{MaxRents: maxRents, DearLimit: v.DearLimit,
 		Cheapest: func(spec *wire.Spec) float64 { return cheapest(flavors, spec) }}
 	var order []*machine
 	for _, m := range t.machines {
@@ -428,10 +463,16 @@
 	s.Demands = t.demands(now, v.StretchShare, v.SpareUnits)
 	plan := fleet.Make(s)
 	for _, r := range plan.Rents {
-		t.rent(r)
+		for left := r.Count; left > 0; left -= maxBooking {
+			r.Count = min(left, maxBooking)
+			t.rent(r)
+		}
 	}
 	for _, m := range order {
-		m.cordoned = slices.Contains(plan.Cordons, m.id)
+		m.cordoned = false
+	}
+	for _, id := range plan.Cordons {
+		t.machines[id].cordoned = true
 	}
 	for _, id := range plan.Releases {
 		if m := t.machines[id]; m != nil && len(m.tasks) == 0 {
@@ -452,7 +493,7 @@
 					continue // one unresolved booking for each
 				}
 				out = append(out, fleet.Offer{Kit: f.Name, Zone: z, Spot: spot, Total: placement.Res{CPUs: f.CPUs, Cards: f.Cards, RAM: f.RAM},
-					Price: f.Price(spot), PullRate: f.PullGBPerS, Room: 8})
+					Price: f.Price(spot), PullRate: f.PullGBPerS, Room: offerRoom})
 			}
 		}
 	}
@@ -587,7 +628,7 @@
 // has answered.
 func (t *term) rent(r fleet.Rent) {
 	t.fleet.seq++
-	b := &booking{Booking: wire.Booking{Name: fmt.Sprintf("b-%d-%d", t.first, t.fleet.seq), Kit: r.Kit, Site: r.Zone, Standby: r.Spot, Count: min(r.Count, 50)}, since: time.Now()}
+	b := &booking{Booking: wire.Booking{Name: fmt.Sprintf("b-%d-%d", t.first, t.fleet.seq), Kit: r.Kit, Site: r.Zone, Standby: r.Spot, Count: r.Count}, since: time.Now()}
 	t.fleet.bookings[b.Name] = b
 	t.log().Info("rents", "kit", b.Kit, "zone", b.Site, "spot", b.Standby, "count", b.Count, "for", r.For, "booking", b.Name)
 	go func() {
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -35,6 +35,7 @@
 	failed   bool      // the list says that it has stopped by itself
 
 	tasks  map[wire.Task]*attempt
+	used   placement.Res      // by tasks
 	strays map[wire.Task]bool // on it, but not ours to want there
 	notice time.Time          // the cloud takes it then; zero: no notice
 	images imageCache
@@ -400,14 +401,29 @@
 	}()
 }
 
-// probeAll shows our token to every machine whose address is known, so that
-// a new leader's report round takes a moment and not a report's interval.
-func (t *term) probeAll() {
+// probesMost is how many machines are asked directly in a tenth of a second.
+// All at once, those of a large deployment would hold up the renewals and the
+// reports behind them.
+const probesMost = 25
+
+// probeSome shows our token to the machines that have not seen it and whose
+// address is known, so that a new leader's report round takes a moment and
+// not a report's interval.
+func (t *term) probeSome() {
+	if t.probed || !t.recovered || !t.deciding() {
+		return
+	}
+	n := 0
 	for _, m := range t.machines {
-		if !m.booting && m.baton < t.first {
-			t.probe(m)
+		if m.booting || m.baton >= t.first || m.busy || m.addr == "" || m.probes > 0 {
+			continue
 		}
+		if n++; n > probesMost {
+			return
+		}
+		t.probe(m)
 	}
+	t.probed = n == 0 && t.listed
 }
 
 type lostCommand struct {
@@ -480,10 +496,7 @@
 }
 
 func (t *term) free(m *machine) placement.Res {
-	free := t.total(m)
-	for _, a := range m.tasks {
-		free = free.Minus(a.res())
-	}
+	free := t.total(m).Minus(m.used)
 	for task := range m.strays {
 		j := t.jobs[task.Job]
 		if j == nil {
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -6,37 +6,43 @@
 	"time"
 
 	"lilaclead/internal/placement"
+	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
 )
 
 // round places what waits.
 func (t *term) round(now time.Time) {
 	t.lastRound, t.roundWant = now, false
-	waiting := false
+	var waiting []*job
 	for _, j := range t.jobs {
 		if t.canPlace(j, now) {
-			waiting = true
-			break
+			waiting = append(waiting, j)
 		}
 	}
-	if !waiting {
+	if len(waiting) == 0 {
 		return
 	}
-	s, ms, js := t.snapshot(now)
+	s, ms, js := t.snapshot(waiting, now)
 	res := placement.Place(s)
 	for _, st := range res.Starts {
 		t.start(js[st.Job], ms[st.Machine], now)
 	}
 	for _, v := range res.Halts {
-		if j := t.jobs[v.Task.Job]; j != nil {
-			for _, m := range ms {
-				if a := m.tasks[v.Task]; a != nil {
-					t.halt(a, windDownOf(j), "makes room")
-				}
-			}
+		if a := t.attempt(v.Task); a != nil {
+			t.halt(a, windDownOf(a.job), "makes room")
 		}
 	}
-	t.l.Metrics.Round(time.Since(now), len(res.Starts), len(res.Halts))
+	t.roundTook = time.Since(now)
+	t.l.Metrics.Round(t.roundTook, len(res.Starts), len(res.Halts))
+}
+
+// attempt that holds a task; nil if none does.
+func (t *term) attempt(task wire.Task) *attempt {
+	j := t.jobs[task.Job]
+	if j == nil || j.chunks[task.Index/store.ChunkSize] == nil {
+		return nil
+	}
+	return j.chunks[task.Index/store.ChunkSize].holds[task.Index%store.ChunkSize]
 }
 
 // windDownOf is how long a task of the job is given to save.
@@ -56,8 +62,9 @@
 	j.eachPending(1, func(c *chunk, i int) {
 		a := &attempt{job: j, chunk: c, index: i, try: c.next, m: m, at: now, planned: true}
 		c.next++
-		c.dirty = true
+		c.plans++
 		c.hold(a)
+		t.mark(c)
 		t.log().Debug("starts", "task", a.task(), "try", a.try, "machine", m.id, "waited", now.Sub(j.at))
 	})
 }
@@ -118,7 +125,7 @@
 
 // snapshot is what a round looks at, with the machines and jobs that its
 // indexes stand for.
-func (t *term) snapshot(now time.Time) (*placement.Snapshot, []*machine, []*job) {
+func (t *term) snapshot(js []*job, now time.Time) (*placement.Snapshot, []*machine, []*job) {
 	v := t.l.Tuning.Get()
 	s := &placement.Snapshot{
 		Teams:   map[wire.TeamID]*placement.Team{},
@@ -142,19 +149,32 @@
 			}
 		}
 	}
-	var ms []*machine
+	// What has no room for the smallest thing that waits is left out: in a full
+	// deployment these are nearly all machines.
+	least := placement.Of(&js[0].spec)
+	for _, j := range js {
+		o := placement.Of(&j.spec)
+		least = placement.Res{CPUs: min(least.CPUs, o.CPUs), Cards: min(least.Cards, o.Cards), RAM: min(least.RAM, o.RAM)}
+	}
+	var ms, full []*machine
 	for _, m := range t.machines {
-		if t.usable(m, now) {
+		switch {
+		case !t.usable(m, now):
+		case least.Fits(t.free(m)):
 			ms = append(ms, m)
+		default:
+			full = append(full, m)
 		}
 	}
-	slices.SortFunc(ms, func(a, b *machine) int { return cmp.Compare(a.id, b.id) })
+	byID := func(a, b *machine) int { return cmp.Compare(a.id, b.id) }
+	slices.SortFunc(ms, byID)
 	beyond := func(j *job) bool {
 		team, _ := t.set.Team(j.spec.Owner)
 		u := s.Teams[j.spec.Owner]
 		return u != nil && (u.Used.CPUs > team.CPUs+wire.Eps || u.Used.Cards > team.GPUs+wire.Eps)
 	}
-	for _, m := range ms {
+	preempts := slices.ContainsFunc(js, func(j *job) bool { return placement.MayPreempt(&j.spec) })
+	view := func(m *machine) placement.Machine {
 		pm := placement.Machine{ID: m.id, Kit: m.kit, Zone: m.zone, Spot: m.spot, Total: t.total(m), Free: t.free(m), Cordoned: m.cordoned,
 			Images: make(map[wire.ImageID]placement.Image, len(m.images.has)+len(m.tasks))}
 		if f := t.flavor(m.kit); f != nil {
@@ -167,7 +187,7 @@
 			if a.ready.IsZero() {
 				pm.Images[a.job.spec.Bundle] = placement.Fetching
 			}
-			if a.planned || a.job.spec.Service() && a.job.spec.Urgency == wire.Prod {
+			if !preempts || a.planned || a.job.spec.Service() && a.job.spec.Urgency == wire.Prod {
 				continue
 			}
 			lost := 0.0
@@ -180,17 +200,24 @@
 			pm.Victims = append(pm.Victims, placement.Victim{Task: a.task(), Rank: a.job.spec.Urgency.Rank(), Takes: a.res(),
 				Lost: lost, Beyond: beyond(a.job), Team: a.job.spec.Owner, Stopped: a.halting})
 		}
-		slices.SortFunc(pm.Victims, func(a, b placement.Victim) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
+		slices.SortFunc(pm.Victims, func(a, b placement.Victim) int {
+			return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), a.Task.Index-b.Task.Index)
+		})
 		for id := range m.images.has {
 			pm.Images[id] = placement.Present
 		}
-		s.Machines = append(s.Machines, pm)
+		return pm
 	}
-	var js []*job
-	for _, j := range t.jobs {
-		if t.canPlace(j, now) {
-			js = append(js, j)
+	for _, m := range ms {
+		s.Machines = append(s.Machines, view(m))
+	}
+	s.More = func() []placement.Machine {
+		slices.SortFunc(full, byID)
+		out := make([]placement.Machine, len(full))
+		for i, m := range full {
+			out[i] = view(m)
 		}
+		return out
 	}
 	slices.SortFunc(js, func(a, b *job) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spec.ID, b.spec.ID)) })
 	sure := t.guaranteed()
@@ -201,13 +228,15 @@
 		if j.fails > 0 {
 			pj.Pending = min(pj.Pending, max(1, 2-j.held)) // try a suspect job with little
 		}
-		known := true
-		for _, a := range j.attempts() {
-			known = known && a.m.zone != ""
-			pj.ZoneHeld[a.m.zone]++
-		}
-		if !known && (j.spec.Apart || j.spec.SamePlace) {
-			continue // where its tasks are is not known yet
+		if j.spec.Apart || j.spec.SamePlace {
+			known := true
+			for _, a := range j.attempts() {
+				known = known && a.m.zone != ""
+				pj.ZoneHeld[a.m.zone]++
+			}
+			if !known {
+				continue // where its tasks are is not known yet
+			}
 		}
 		s.Jobs = append(s.Jobs, pj)
 		kept = append(kept, j)
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -51,9 +51,12 @@
 	jobs      map[wire.JobID]*job
 	machines  map[wire.MachineID]*machine
 	gone      map[wire.MachineID]time.Time // released, answered 200
+	probed    bool                         // every machine of the first list has been asked
 	blindAt   time.Time
 	acked     time.Time // when a majority first held our token
 
+	dirty      map[*chunk]struct{} // differ from what is stored
+	closing    map[*job]struct{}   // can be archived
 	writing    bool
 	retryAt    time.Time
 	bookAt     time.Time // when bookkeeping may be written again
@@ -62,6 +65,7 @@
 	roundWant  bool
 	lastRound  time.Time
 	roundAfter time.Time
+	roundTook  time.Duration // the last one
 
 	fleet fleetState
 }
@@ -73,6 +77,7 @@
 		hellos: make(chan hello, 32), inbox: make(chan func(), 32), over: make(chan struct{}),
 		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{},
 		machines: map[wire.MachineID]*machine{}, gone: map[wire.MachineID]time.Time{},
+		dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
 	}
 	t.until.Store(int64(o.until.Sub(o.at)))
 	t.fleet.init()
@@ -122,6 +127,7 @@
 			f()
 		case now := <-tick.C:
 			t.watchOffice(now)
+			t.probeSome()
 			if slow++; slow%5 == 0 {
 				t.watchMachines(now)
 			}
@@ -149,7 +155,9 @@
 func (t *term) wantRound() {
 	if !t.roundWant {
 		t.roundWant = true
-		t.roundAfter = later(time.Now().Add(10*time.Millisecond), t.lastRound.Add(100*time.Millisecond))
+		// At most a fifth of the time goes to rounds, however large they are.
+		pause := max(100*time.Millisecond, 4*t.roundTook)
+		t.roundAfter = later(time.Now().Add(10*time.Millisecond), t.lastRound.Add(pause))
 	}
 }
 
@@ -308,7 +316,7 @@
 		t.apply(t.machine(rep.Host), &rep, true, time.Now())
 	}
 	t.early = nil
-	t.probeAll()
+	t.probeSome()
 }
 
 // learn takes in a job record that is new or has changed.
@@ -352,6 +360,7 @@
 func (t *term) checkOver(j *job) {
 	if j.cancelled && j.held == 0 || j.done == j.spec.Parts {
 		j.over = true
+		t.closing[j] = struct{}{}
 	}
 }
 
@@ -382,6 +391,7 @@
 	notBefore time.Time
 	started   bool
 	runs      runStats
+	from      int // no task of an earlier chunk is pending
 }
 
 func newJob(rec store.JobRecord, stamp wire.Revision) *job {
@@ -421,17 +431,19 @@
 
 // eachPending calls f for up to n pending tasks.
 func (j *job) eachPending(n int, f func(c *chunk, index int)) {
-	for ci := range j.chunks {
+	for ci := j.from; ci < len(j.chunks); ci++ {
 		c := j.chunk(ci)
-		for i, s := range c.state {
+		for i := c.from; i < len(c.state); i++ {
 			if n == 0 {
 				return
 			}
-			if s == taskPending {
+			if c.state[i] == taskPending {
 				f(c, i)
 				n--
 			}
+			c.from = i + 1
 		}
+		j.from = ci + 1
 	}
 }
 
@@ -441,6 +453,9 @@
 	stamp wire.Revision
 	next  wire.Attempt
 	state []uint8
+	from  int       // no earlier task is pending
+	plans int       // attempts held that are not yet stored
+	since time.Time // when it came to differ from what is stored
 	holds map[int]*attempt
 	dirty bool // differs from what is stored or being stored
 	busy  bool // being written
@@ -451,6 +466,16 @@
 	c.holds[a.index] = a
 	c.job.held++
 	a.m.tasks[a.task()] = a
+	a.m.used = a.m.used.Plus(a.res())
+}
+
+// mark notes that a chunk must be written.
+func (t *term) mark(c *chunk) {
+	if !c.dirty {
+		c.since = time.Now()
+	}
+	c.dirty = true
+	t.dirty[c] = struct{}{}
 }
 
 // record is the chunk as it is stored.
@@ -531,11 +556,22 @@
 		return
 	}
 	delete(c.holds, a.index)
+	if a.planned {
+		a.planned = false
+		c.plans--
+	}
 	if a.m.tasks[a.task()] == a {
 		delete(a.m.tasks, a.task())
+		a.m.used = a.m.used.Minus(a.res())
+		if len(a.m.tasks) == 0 {
+			a.m.used = placement.Res{} // sums of decimals drift
+		}
 	}
 	c.state[a.index] = state
-	c.dirty = true
+	if state == taskPending {
+		c.from, a.job.from = min(c.from, a.index), min(a.job.from, c.n)
+	}
+	t.mark(c)
 	a.job.held--
 	if state == taskDone {
 		a.job.done++
--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -50,52 +51,50 @@
 		b.chunks = append(b.chunks, c)
 	}
 	urgent := false
-	for _, j := range t.jobs {
-		if j.over && !j.archiving && !j.stale {
+	for j := range t.closing {
+		if !j.archiving && !j.stale {
 			t.archive(b, j, full)
 			urgent = true
 		}
 	}
-	var book []*chunk
-	jobs := make([]*job, 0, len(t.jobs))
-	for _, j := range t.jobs {
-		jobs = append(jobs, j)
+	var launches, book []*chunk
+	for c := range t.dirty {
+		switch j := c.job; {
+		case j.archiving || j.over || j.stale:
+		case c.plans > 0:
+			launches = append(launches, c)
+		default:
+			book = append(book, c)
+		}
 	}
-	slices.SortFunc(jobs, func(a, b *job) int { return b.spec.Urgency.Rank() - a.spec.Urgency.Rank() })
-	for _, j := range jobs {
-		if j.archiving || j.over || j.stale {
+	slices.SortFunc(launches, func(a, b *chunk) int {
+		return cmp.Or(b.job.spec.Urgency.Rank()-a.job.spec.Urgency.Rank(), a.job.at.Compare(b.job.at), a.n-b.n)
+	})
+	for _, c := range launches {
+		rec := c.record()
+		if full(1, rec.JSONSize()) {
 			continue
 		}
-		for _, c := range j.chunks {
-			if c == nil || !c.dirty {
-				continue
-			}
-			var planned []*attempt
-			for _, a := range c.holds {
-				if a.planned {
-					planned = append(planned, a)
-				}
-			}
-			if len(planned) == 0 {
-				book = append(book, c)
-				continue
-			}
-			rec := c.record()
-			if full(1, rec.JSONSize()) {
-				continue
-			}
-			put(c, &rec)
-			key := store.JobKey(j.spec.ID)
-			if !slices.ContainsFunc(b.txn.Guards, func(g wire.Guard) bool { return g.Key == key }) {
-				// A job that was cancelled meanwhile starts nothing.
-				b.txn.Guards = append(b.txn.Guards, wire.Guard{Key: key, Stamp: j.stamp})
+		put(c, &rec)
+		key := store.JobKey(c.job.spec.ID)
+		if !slices.ContainsFunc(b.txn.Guards, func(g wire.Guard) bool { return g.Key == key }) {
+			// A job that was cancelled meanwhile starts nothing.
+			b.txn.Guards = append(b.txn.Guards, wire.Guard{Key: key, Stamp: c.job.stamp})
+		}
+		for _, a := range c.holds {
+			if a.planned {
+				b.planned = append(b.planned, a)
 			}
-			b.planned = append(b.planned, planned...)
-			urgent = true
 		}
+		urgent = true
 	}
-	if urgent || len(book) > 0 && now.After(t.bookAt) {
-		for _, c := range book {
+	if len(book) > 0 && now.After(t.bookAt) {
+		// Books are kept from what the budget has left; those that wait
+		// longest go first.
+		slices.SortFunc(book, func(a, b *chunk) int { return a.since.Compare(b.since) })
+		_, left := t.l.Store.Left()
+		n := min(len(book), max(0, int(left)-len(b.txn.Writes)))
+		for _, c := range book[:n] {
 			rec := c.record()
 			if !full(1, rec.JSONSize()) {
 				put(c, &rec)
@@ -115,6 +114,7 @@
 	}
 	for _, c := range b.chunks {
 		c.dirty, c.busy = false, true
+		delete(t.dirty, c)
 	}
 	class := store.Duty
 	if urgent {
@@ -207,6 +207,10 @@
 		}
 		t.log().Info("job over", "job", j.spec.ID, "status", status, "took", time.Since(j.at))
 		delete(t.jobs, j.spec.ID)
+		delete(t.closing, j)
+		for _, c := range j.chunks {
+			delete(t.dirty, c)
+		}
 	}
 	touched := map[*machine]bool{}
 	for _, a := range b.planned {
@@ -214,6 +218,7 @@
 			continue
 		}
 		a.planned = false
+		a.chunk.plans--
 		if a.halting || a.job.cancelled || a.m.drain != "" || a.m.releasing || t.machines[a.m.id] != a.m {
 			// Never sent by anyone: it needs no chase.
 			t.drop(a, taskPending)
@@ -230,7 +235,8 @@
 // written.
 func (t *term) undo(b *batch) {
 	for _, c := range b.chunks {
-		c.dirty, c.busy = true, false
+		c.busy = false
+		t.mark(c)
 	}
 	for _, j := range b.over {
 		j.archiving = false
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -121,8 +121,17 @@
 	SpareTakes Res
 	// Preempt allows to stop tasks for jobs of higher priority.
 	Preempt bool
+	// More, if set, adds the machines that have no room for anything that
+	// waits, with their victims. It is asked only when something that may
+	// preempt is left: on most rounds of a full deployment nothing is.
+	More func() []Machine
 }
 
+// MayPreempt tells whether tasks may be stopped to make room for the job.
+// Arrays of everyday priority wait for room: a stopped array's work is mostly
+// repeated, and what makes room for one delays another.
+func MayPreempt(s *wire.Spec) bool { return s.Service() || s.Urgency.Rank() >= wire.Urgent.Rank() }
+
 // Start is a launch: one unit of Jobs[Job] on Machines[Machine].
 type Start struct{ Job, Machine int }
 
@@ -156,6 +165,14 @@
 	return j.ZoneHeld[z] < j.Spec.ZoneCap()
 }
 
+// hold notes one more task of the job in a zone.
+func (j *Job) hold(z wire.Zone) {
+	if j.ZoneHeld == nil {
+		j.ZoneHeld = map[wire.Zone]int{}
+	}
+	j.ZoneHeld[z]++
+}
+
 // room tells whether the team's limit allows one more task.
 func (t *Team) room(take Res) bool {
 	u := t.Used.Plus(take)
@@ -203,16 +220,18 @@
 		raise := j.Weight * (1 + j.WaitedS/max(1, s.Factors.WaitRaiseS))
 		p.gains[i] = [2]float64{unit[withImage] * raise, unit[without] * raise}
 	}
-	// best[i] is the job's best next unit; it is found anew only when the
-	// machine it names has changed.
+	// best[i] is the job's best next unit. Gains only fall as room is taken, so
+	// what was found earlier is an upper bound: it is looked for anew only when
+	// it comes first and its machine or its team has changed meanwhile.
 	best := make([]choice, len(queue))
 	for i, w := range queue {
-		best[i] = p.choose(w.job)
+		best[i] = choice{machine: unknown, gain: max(p.gains[w.job][withImage], p.gains[w.job][without])}
 	}
-	for {
+	changed := make([]int, len(s.Machines)) // the step that changed a machine last
+	for step := 1; ; step++ {
 		top := -1
 		for i := range queue {
-			if queue[i].left > 0 && best[i].machine >= 0 && (top < 0 || best[i].gain > best[top].gain+1e-12) {
+			if queue[i].left > 0 && best[i].machine != none && (top < 0 || best[i].gain > best[top].gain+1e-12) {
 				top = i
 			}
 		}
@@ -220,11 +239,17 @@
 			break
 		}
 		ji, mi := queue[top].job, best[top].machine
-		j, m := &s.Jobs[ji], &s.Machines[mi]
+		j := &s.Jobs[ji]
 		take := Of(j.Spec)
+		if mi == unknown || changed[mi] >= best[top].step || !s.Teams[j.Spec.Owner].room(take) {
+			best[top] = p.choose(ji)
+			best[top].step = step
+			continue
+		}
+		m := &s.Machines[mi]
 		m.Free = m.Free.Minus(take)
 		s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
-		j.ZoneHeld[m.Zone]++
+		j.hold(m.Zone)
 		queue[top].left--
 		j.Pending--
 		if j.Spec.Service() {
@@ -237,15 +262,7 @@
 			m.Images[j.Spec.Bundle] = Fetching
 		}
 		res.Starts = append(res.Starts, Start{ji, mi})
-		for i := range queue {
-			if queue[i].left == 0 || best[i].machine < 0 {
-				continue
-			}
-			same := s.Jobs[queue[i].job].Spec.Owner == j.Spec.Owner
-			if i == top || best[i].machine == mi || same && !s.Teams[j.Spec.Owner].room(Of(s.Jobs[queue[i].job].Spec)) {
-				best[i] = p.choose(queue[i].job)
-			}
-		}
+		changed[mi] = step
 	}
 	if s.Preempt {
 		res.Halts = preempt(s)
@@ -261,16 +278,22 @@
 type choice struct {
 	machine int
 	gain    float64
+	step    int // of the pass, when it was found
 }
 
+// What a choice may say in place of a machine.
+const (
+	none    = -1 // no machine can take a unit
+	unknown = -2 // not looked for yet
+)
+
 // choose finds the machine for the job's next unit: the class with the
 // larger gain first, and within it the machine that fits best.
 func (p *pass) choose(ji int) choice {
 	j := &p.s.Jobs[ji]
-	none := choice{machine: -1}
 	take := Of(j.Spec)
 	if !p.s.Teams[j.Spec.Owner].room(take) {
-		return none
+		return choice{machine: none}
 	}
 	best, bestScore := -1, 0.0
 	bestClass := without
@@ -295,9 +318,9 @@
 		}
 	}
 	if best < 0 {
-		return none
+		return choice{machine: none}
 	}
-	return choice{best, p.gains[ji][bestClass]}
+	return choice{machine: best, gain: p.gains[ji][bestClass]}
 }
 
 // fit orders the machines of one class: a fetch that is under way beats a
@@ -363,28 +386,41 @@
 	var halts []Victim
 	waiting := make([]int, 0)
 	for i := range s.Jobs {
-		// Arrays of everyday priority wait for room: a stopped array's work is
-		// mostly repeated, and what makes room for one delays another.
-		if j := &s.Jobs[i]; j.Pending > 0 && (j.Spec.Service() || j.Spec.Urgency.Rank() >= wire.Urgent.Rank()) {
+		if j := &s.Jobs[i]; j.Pending > 0 && MayPreempt(j.Spec) && s.Teams[j.Spec.Owner] != nil {
 			waiting = append(waiting, i)
 		}
 	}
+	if len(waiting) == 0 {
+		return nil
+	}
+	if s.More != nil {
+		s.Machines = append(s.Machines, s.More()...)
+	}
 	slices.SortStableFunc(waiting, func(a, b int) int {
 		return cmp.Compare(s.Jobs[b].Spec.Urgency.Rank(), s.Jobs[a].Spec.Urgency.Rank())
 	})
+	offers := make([]clearing, len(s.Machines))
 	for _, ji := range waiting {
 		j := &s.Jobs[ji]
 		take := Of(j.Spec)
+		for mi := range s.Machines {
+			offers[mi] = clearFor(&s.Machines[mi], j, take)
+		}
 		for range min(j.Pending, 8) {
 			if !s.Teams[j.Spec.Owner].room(take) {
 				break
 			}
-			mi, picks := cheapest(s, j, take)
+			mi := -1
+			for i := range offers {
+				if offers[i].ok && (mi < 0 || offers[i].lost < offers[mi].lost) && zoneOpen(j, s.Machines[i].Zone) {
+					mi = i
+				}
+			}
 			if mi < 0 {
 				break
 			}
 			m := &s.Machines[mi]
-			for _, vi := range picks {
+			for _, vi := range offers[mi].picks {
 				v := &m.Victims[vi]
 				m.Free = m.Free.Plus(v.Takes)
 				if !v.Stopped {
@@ -395,7 +431,8 @@
 			}
 			m.Free = m.Free.Minus(take)
 			s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
-			j.ZoneHeld[m.Zone]++
+			j.hold(m.Zone)
+			offers[mi] = clearFor(m, j, take)
 		}
 	}
 	return halts
@@ -410,46 +447,53 @@
 	return v.Rank < j.Spec.Urgency.Rank() || j.Guaranteed && v.Beyond && v.Team != j.Spec.Owner && j.Spec.Service()
 }
 
-// cheapest finds the machine where the unit costs the least lost work.
-func cheapest(s *Snapshot, j *Job, take Res) (int, []int) {
-	best, bestLost := -1, 0.0
-	var bestPicks []int
-	for mi := range s.Machines {
-		m := &s.Machines[mi]
-		if !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) || !take.Fits(m.Total) {
-			continue
+// clearing is what room for one unit costs on a machine.
+type clearing struct {
+	ok    bool
+	lost  float64
+	picks []int
+}
+
+// clearFor finds the tasks to stop on a machine for one unit of the job, those
+// with the least work lost first.
+func clearFor(m *Machine, j *Job, take Res) clearing {
+	if !take.Fits(m.Total) || !Allowed(j.Spec, m) {
+		return clearing{}
+	}
+	if take.Fits(m.Free) {
+		return clearing{ok: true}
+	}
+	order := make([]int, 0, len(m.Victims))
+	for vi := range m.Victims {
+		if mayStop(j, &m.Victims[vi]) {
+			order = append(order, vi)
 		}
-		order := make([]int, 0, len(m.Victims))
-		for vi := range m.Victims {
-			if mayStop(j, &m.Victims[vi]) {
-				order = append(order, vi)
+	}
+	if len(order) == 0 {
+		return clearing{}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		va, vb := &m.Victims[a], &m.Victims[b]
+		if va.Stopped != vb.Stopped {
+			if va.Stopped {
+				return -1
 			}
+			return 1
 		}
-		slices.SortStableFunc(order, func(a, b int) int {
-			va, vb := &m.Victims[a], &m.Victims[b]
-			if va.Stopped != vb.Stopped {
-				if va.Stopped {
-					return -1
-				}
-				return 1
-			}
-			return cmp.Or(cmp.Compare(va.Rank, vb.Rank), cmp.Compare(va.Lost, vb.Lost))
-		})
-		free, lost := m.Free, 0.0
-		var picks []int
-		for _, vi := range order {
-			if take.Fits(free) {
-				break
-			}
-			free = free.Plus(m.Victims[vi].Takes)
-			if !m.Victims[vi].Stopped {
-				lost += m.Victims[vi].Lost + 5
-			}
-			picks = append(picks, vi)
+		return cmp.Or(cmp.Compare(va.Rank, vb.Rank), cmp.Compare(va.Lost, vb.Lost))
+	})
+	c := clearing{}
+	free := m.Free
+	for _, vi := range order {
+		if take.Fits(free) {
+			break
 		}
-		if take.Fits(free) && (best < 0 || lost < bestLost) {
-			best, bestLost, bestPicks = mi, lost, picks
+		free = free.Plus(m.Victims[vi].Takes)
+		if !m.Victims[vi].Stopped {
+			c.lost += m.Victims[vi].Lost + 5
 		}
+		c.picks = append(c.picks, vi)
 	}
-	return best, bestPicks
+	c.ok = take.Fits(free)
+	return c
 }
