--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -7,11 +7,13 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"golang.org/x/time/rate"
 
 	"lilaclead/internal/config"
 	"lilaclead/internal/store"
@@ -22,11 +24,13 @@
 type Intake struct {
 	set     *config.Settings
 	store   *store.Client
+	live    *store.Copy
 	flavors func() []wire.Flavor
 	log     *slog.Logger
 	// stage holds the requests in work; a full stage refuses at once.
 	stage  chan struct{}
 	finals finals
+	counts counts
 	// Observe is told of every answer, for the metrics.
 	Observe func(op string, status int, took time.Duration)
 }
@@ -35,12 +39,83 @@
 // state service, which takes milliseconds.
 func New(set *config.Settings, st *store.Client, flavors func() []wire.Flavor, log *slog.Logger) *Intake {
 	return &Intake{
-		set: set, store: st, flavors: flavors, log: log,
+		set: set, store: st, live: store.NewCopy(st, set.State.RPS, set.Size), flavors: flavors, log: log,
+		counts:  newCounts(set),
 		stage:   make(chan struct{}, max(8, min(48, set.Limits.FDLimit/20))),
 		Observe: func(string, int, time.Duration) {},
 	}
 }
 
+// Run keeps the copy that polls are answered from until the context ends.
+func (in *Intake) Run(ctx context.Context) { in.live.Run(ctx) }
+
+// commit executes a user's change. A refusal for the rate alone passes within
+// a fraction of a second, so it is tried again a few times, well within the
+// time in which users expect an answer; everything else is answered at once.
+func (in *Intake) commit(ctx context.Context, txn wire.Txn) error {
+	for wait := 50 * time.Millisecond; ; wait *= 2 {
+		_, err := in.store.Commit(ctx, store.User, txn)
+		if !errors.Is(err, store.ErrBusy) || wait > 200*time.Millisecond {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(wait + rand.N(wait/2)):
+		}
+	}
+}
+
+// counts remembers how many tasks of a job run and are done. They are for
+// display, so they are read at a small rate and may be somewhat old.
+type counts struct {
+	mu     sync.Mutex
+	of     map[wire.JobID]count
+	budget *rate.Limiter
+}
+
+type count struct {
+	done, running int
+	at            time.Time
+}
+
+// countsFor is how long a count is shown without a new look.
+const countsFor = 2 * time.Second
+
+func newCounts(set *config.Settings) counts {
+	per := max(0.5, set.State.RPS*0.15/float64(max(1, set.Size)))
+	return counts{of: map[wire.JobID]count{}, budget: rate.NewLimiter(rate.Limit(per), max(1, int(per)))}
+}
+
+func (in *Intake) count(ctx context.Context, id wire.JobID) count {
+	k := &in.counts
+	k.mu.Lock()
+	c, known := k.of[id]
+	k.mu.Unlock()
+	if known && time.Since(c.at) < countsFor || !k.budget.Allow() {
+		return c
+	}
+	entries, _, err := in.store.List(ctx, store.User, store.RunPrefix+string(id)+"/")
+	if err != nil {
+		return c
+	}
+	c = count{at: time.Now()}
+	for _, e := range entries {
+		var rec store.ChunkRecord
+		if wire.Decode(e.Value, &rec) == nil {
+			c.done += store.Count(rec.Done)
+			c.running += len(rec.Held)
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.of) >= finalsMost {
+		clear(k.of)
+	}
+	k.of[id] = c
+	return c
+}
+
 // finals remembers final states, which never change; two generations bound
 // its size.
 type finals struct {
@@ -107,7 +182,9 @@
 		default:
 			a = refusal(http.StatusTooManyRequests, "too many requests in work")
 		}
-		if a.status == http.StatusRequestEntityTooLarge {
+		if a.status == http.StatusRequestEntityTooLarge || a.status == http.StatusServiceUnavailable && !in.store.Reachable() {
+			// A user whose connection is here would come back here: on a new
+			// one the load balancer may choose a node that can answer.
 			w.Header().Set("Connection", "close")
 		}
 		if a.retryS > 0 {
@@ -152,7 +229,7 @@
 		return answer{status: http.StatusUnprocessableEntity, body: wire.Reason{Error: why}}
 	}
 	rec := store.JobRecord{Spec: spec, Status: wire.Queued, At: wire.StampOf(time.Now())}
-	_, err = in.store.Commit(ctx, store.User, wire.Txn{
+	err = in.commit(ctx, wire.Txn{
 		Guards: []wire.Guard{{Key: store.JobKey(spec.ID), Stamp: 0}, {Key: store.PastKey(spec.ID), Stamp: 0}},
 		Writes: []wire.Write{{Put: store.JobKey(spec.ID), Value: wire.Encode(rec)}},
 	})
@@ -205,20 +282,16 @@
 	if s, ok := in.finals.get(id); ok {
 		return s, nil
 	}
-	e, err := in.store.Get(ctx, store.User, store.JobKey(id))
+	l, err := in.live.Get(ctx, id)
 	if err == nil {
-		var rec store.JobRecord
-		if err := wire.Decode(e.Value, &rec); err != nil {
-			return wire.JobState{}, err
-		}
-		s := wire.JobState{ID: id, Status: rec.Status}
+		s := wire.JobState{ID: id, Status: l.Status}
 		in.finals.put(s)
 		return s, nil
 	}
 	if !errors.Is(err, store.ErrMissing) {
 		return wire.JobState{}, err
 	}
-	e, err = in.store.Get(ctx, store.User, store.PastKey(id))
+	e, err := in.store.Get(ctx, store.User, store.PastKey(id))
 	if err != nil {
 		return wire.JobState{}, err
 	}
@@ -244,16 +317,8 @@
 		return unavailable
 	}
 	if s.Status == wire.Queued {
-		// The counts are for display; without them the state still holds.
-		if entries, _, err := in.store.List(ctx, store.User, store.RunPrefix+string(id)+"/"); err == nil {
-			for _, e := range entries {
-				var c store.ChunkRecord
-				if wire.Decode(e.Value, &c) == nil {
-					s.Done += store.Count(c.Done)
-					s.Running += len(c.Held)
-				}
-			}
-		}
+		c := in.count(ctx, id)
+		s.Done, s.Running = c.done, c.running
 		if s.Running > 0 {
 			s.Status = wire.Running
 		}
@@ -299,7 +364,7 @@
 			continue
 		}
 		rec.Status, rec.Ended = wire.Cancelled, wire.StampOf(time.Now())
-		_, err = in.store.Commit(ctx, store.Duty, wire.Txn{
+		err = in.commit(ctx, wire.Txn{
 			Guards: []wire.Guard{{Key: store.JobKey(id), Stamp: e.Stamp}},
 			Writes: []wire.Write{{Put: store.JobKey(id), Value: wire.Encode(rec)}},
 		})
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -20,7 +20,7 @@
 	"lilaclead/internal/wire"
 )
 
-func rig() (*Intake, http.Handler) {
+func rig(t *testing.T) (*Intake, http.Handler) {
 	set := &config.Settings{Teams: []config.Team{{Name: "red"}}, Limits: config.Limits{FDLimit: 900}}
 	away := netio.Net{Dial: func(context.Context, string, string) (net.Conn, error) {
 		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
@@ -29,12 +29,13 @@
 	in := New(set, st, func() []wire.Flavor { return nil }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	r := httprouter.New()
 	in.Routes(r)
+	go in.Run(t.Context())
 	return in, r
 }
 
 // A full stage refuses at once, and says when to come back.
 func TestFullStage(t *testing.T) {
-	in, h := rig()
+	in, h := rig(t)
 	for range cap(in.stage) {
 		in.stage <- struct{}{}
 	}
@@ -57,7 +58,7 @@
 // A final state is answered without the state service, for ever; what can't
 // be read is 503 and never 404; what can't be judged yet is 503.
 func TestAnswersWithoutTheStateService(t *testing.T) {
-	in, h := rig()
+	in, h := rig(t)
 	in.finals.put(wire.JobState{ID: "req-1", Status: wire.Done, Done: 3})
 	in.finals.put(wire.JobState{ID: "req-2", Status: wire.Running})
 	ask := func(method, path string, body []byte) int {
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -299,8 +299,21 @@
 	c.Close()
 }
 
-// Reset breaks every connection of a host, as its end does.
+// Reset breaks every connection and listener of a host, as its end does. (A
+// node that was up again at once could find its address still in use by its
+// last life, and was then silently missing from a test.)
 func (n *Network) Reset(ip string) {
+	n.mu.Lock()
+	var ls []*listener
+	for at, l := range n.listeners {
+		if hostOf(at) == ip {
+			ls = append(ls, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range ls {
+		l.Close()
+	}
 	for _, c := range n.matching(func(c *conn) bool { return hostOf(string(c.local)) == ip || hostOf(string(c.remote)) == ip }) {
 		c.shut(func(p *pipe) { p.reset = true })
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -27,6 +27,8 @@
 	// ErrRefused: certainly not executed (429, 503, connection refused, or no
 	// room in our own budget).
 	ErrRefused = errors.New("state: refused")
+	// ErrBusy: refused for the rate alone; worth another try in a moment.
+	ErrBusy = fmt.Errorf("%w: over the rate", ErrRefused)
 	// ErrUnknown: no usable answer; a change may have been executed, or may
 	// still be.
 	ErrUnknown = errors.New("state: outcome unknown")
@@ -57,7 +59,7 @@
 // The classes.
 const (
 	// Vital requests (renewals, elections, launches) never wait for the
-	// budget, but are counted in it.
+	// budget, but are counted in it, into debt: what keeps books waits then.
 	Vital Class = iota
 	// Duty requests (bookkeeping, recovery) wait for the budget.
 	Duty
@@ -118,8 +120,8 @@
 func (c *Client) admit(ctx context.Context, class Class, writes int) error {
 	switch class {
 	case Vital:
-		c.calls.AllowN(time.Now(), 1)
-		c.writes.AllowN(time.Now(), writes)
+		charge(c.calls, 1)
+		charge(c.writes, writes)
 	case Duty:
 		if err := c.calls.Wait(ctx); err != nil {
 			return ErrRefused
@@ -136,12 +138,19 @@
 			return ErrRefused
 		}
 		if !c.calls.Allow() || writes > 0 && !c.writes.AllowN(time.Now(), min(writes, c.writes.Burst())) {
-			return ErrRefused
+			return ErrBusy
 		}
 	}
 	return nil
 }
 
+// charge counts what is done anyway, into a debt of one burst at most.
+func charge(l *rate.Limiter, n int) {
+	if n = min(n, l.Burst()); n > 0 && l.Tokens() > -float64(l.Burst()) {
+		l.ReserveN(time.Now(), n)
+	}
+}
+
 func (c *Client) do(ctx context.Context, hc *http.Client, op, method, path string, body any, out any, timeout time.Duration) (status int, err error) {
 	begin := time.Now()
 	outcome := "ok"
@@ -174,7 +183,7 @@
 		}
 		return status, nil
 	case http.StatusTooManyRequests:
-		return status, ErrRefused
+		return status, ErrBusy
 	case http.StatusServiceUnavailable:
 		c.lastBad.Store(int64(time.Since(c.started)))
 		return status, ErrRefused
@@ -301,12 +310,16 @@
 
 // Watch waits for changes under a prefix after a revision, for up to block.
 func (c *Client) Watch(ctx context.Context, prefix string, after wire.Revision, block time.Duration) (wire.Changes, error) {
+	return c.changes(ctx, Vital, c.watches, prefix, after, block, block+3*time.Second)
+}
+
+func (c *Client) changes(ctx context.Context, class Class, hc *http.Client, prefix string, after wire.Revision, block, timeout time.Duration) (wire.Changes, error) {
 	var res wire.Changes
-	if err := c.admit(ctx, Vital, 0); err != nil {
+	if err := c.admit(ctx, class, 0); err != nil {
 		return res, err
 	}
 	q := fmt.Sprintf("/changes?under=%s&after=%d&blockMs=%d", url.QueryEscape(prefix), after, block.Milliseconds())
-	status, err := c.do(ctx, c.watches, "watch", "GET", q, nil, &res, block+3*time.Second)
+	status, err := c.do(ctx, hc, "watch", "GET", q, nil, &res, timeout)
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("%w: status %d", ErrUnknown, status)
 	}
--- a/node.go
+++ b/node.go
@@ -144,6 +144,7 @@
 		IdleTimeout: 60 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	go n.mesh.Run(ctx)
 	go n.leader.Run(ctx)
+	go n.intake.Run(ctx)
 	go n.learnFlavors(ctx)
 	go n.admin.Follow(ctx, func(v tuning.Values) {
 		n.level.Set(n.base)
@@ -197,17 +198,27 @@
 	return r
 }
 
-// ready fails only when this node can't serve and another says that it can:
-// in an outage that all share, every node stays ready and refuses fast.
+// ready fails only when this node can't serve and another says that it can,
+// or may, since none is heard: in an outage that all share, every node stays
+// ready and refuses fast.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	if !n.store.Reachable() {
 		now := time.Now()
+		hears := len(n.cfg.Others) == 0
 		for _, o := range n.mesh.View().Others {
-			if o.Serves && now.Sub(o.Heard) < peer.X {
+			if now.Sub(o.Heard) >= peer.X {
+				continue
+			}
+			hears = true
+			if o.Serves {
 				wire.Refuse(w, http.StatusServiceUnavailable, "state service not reachable from here", 1)
 				return
 			}
 		}
+		if !hears {
+			wire.Refuse(w, http.StatusServiceUnavailable, "neither state service nor another node reachable from here", 1)
+			return
+		}
 	}
 	wire.Answer(w, http.StatusOK, struct {
 		Ready bool `cbor:"ready"`
