--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -134,6 +134,9 @@
 			if slow%10 == 0 {
 				t.planFleet(now)
 			}
+			if slow%100 == 0 {
+				t.standing(now)
+			}
 		}
 		t.settle(time.Now())
 	}
--- a/internal/leader/view.go
+++ b/internal/leader/view.go
@@ -67,6 +67,30 @@
 	return nil
 }
 
+// standing logs, every ten seconds, how the deployment stands.
+func (t *term) standing(now time.Time) {
+	up, booting, idle, tasks, held, done, waiting := 0, 0, 0, 0, 0, 0, 0
+	for _, m := range t.machines {
+		switch {
+		case m.booting:
+			booting++
+		case len(m.tasks) == 0:
+			idle++
+			fallthrough
+		default:
+			up++
+		}
+	}
+	for _, j := range t.jobs {
+		tasks, held, done = tasks+j.spec.Parts, held+j.held, done+j.done
+		if !j.cancelled && j.pending() > 0 {
+			waiting++
+		}
+	}
+	t.log().Info("standing", "token", t.token, "up", up, "booting", booting, "idle", idle, "jobs", len(t.jobs), "jobs_waiting", waiting,
+		"tasks_held", held, "tasks_waiting", tasks-held-done, "round", t.roundTook, "late", time.Since(now))
+}
+
 // viewMost bounds the view of a large cluster.
 const viewMost = 500
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -73,7 +73,8 @@
 	http    *http.Client
 	watches *http.Client
 	calls   *rate.Limiter
-	writes  *rate.Limiter
+	writes  *rate.Limiter // by the node's own duties
+	users   *rate.Limiter // changes that users ask for
 
 	// lastGood is the steady time of the last answer that shows the service
 	// serves us, in nanoseconds since started.
@@ -105,6 +106,7 @@
 		watches: &http.Client{Transport: nw.Transport(4, 4)},
 		calls:   rate.NewLimiter(rate.Limit(share(s.RPS)), int(share(s.RPS))),
 		writes:  rate.NewLimiter(rate.Limit(share(s.WriteRPS)), int(share(s.WriteRPS))),
+		users:   rate.NewLimiter(rate.Limit(share(s.WriteRPS)), int(share(s.WriteRPS))),
 		started: time.Now(),
 		Observe: func(string, string, time.Duration) {},
 	}
@@ -137,7 +139,10 @@
 		if !c.Reachable() && time.Since(c.started)-time.Duration(c.lastGood.Load()) > silentFor {
 			return ErrRefused
 		}
-		if !c.calls.Allow() || writes > 0 && !c.writes.AllowN(time.Now(), min(writes, c.writes.Burst())) {
+		// The calls of a leader's duties must not shut out the users that come
+		// to the same node: changes have a budget of their own, and reads of
+		// users are few, since polls share them.
+		if writes == 0 && !c.calls.Allow() || writes > 0 && !c.users.AllowN(time.Now(), min(writes, c.users.Burst())) {
 			return ErrBusy
 		}
 	}
