--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -199,7 +199,7 @@
 			left -= waitFor(bins, d, take, left)
 		}
 		for left > 0 && len(wants) < s.MaxRents {
-			best, bestCost := -1, 0.0
+			best, bestCost, bestRank := -1, 0.0, 0.0
 			for i := range offers {
 				o := &offers[i]
 				b := bin{kit: o.Kit, zone: o.Zone, spot: o.Spot}
@@ -209,10 +209,11 @@
 				}
 				cost := o.Price / float64(n)
 				// Prefer the zone that has fewer machines, so that a zone's
-				// loss takes less with it.
-				cost *= 1 + 0.4*float64(inZone[o.Zone])/float64(len(bins)+20)
-				if best < 0 || cost < bestCost {
-					best, bestCost = i, cost
+				// loss takes less with it. That orders the offers only: it once
+				// made all zones of a large deployment too dear.
+				rank := cost * (1 + 0.4*float64(inZone[o.Zone])/float64(len(bins)+20))
+				if best < 0 || rank < bestRank {
+					best, bestCost, bestRank = i, cost, rank
 				}
 			}
 			if best < 0 {
