--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -71,6 +71,7 @@
 	turned chan wire.MachineID
 	hears  atomic.Int64
 	direct *http.Client
+	holder atomic.Pointer[holder]
 	// shunned: until when this node leaves the office to others.
 	shunned time.Time
 }
@@ -154,12 +155,11 @@
 	t := l.term.Load()
 	if t == nil || !t.answering() {
 		l.Metrics.Report("elsewhere")
-		v := l.Mesh.View()
-		if v.Leader != "" {
-			if l.relay(r.Context(), w, v.Leader, &rep) {
+		if lead := l.leads(time.Now()); lead != "" {
+			if l.relay(r.Context(), w, lead, &rep) {
 				return
 			}
-			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: v.Leader})
+			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: lead})
 			return
 		}
 		wire.Refuse(w, http.StatusServiceUnavailable, "no leader known", 1)
@@ -168,9 +168,30 @@
 	l.serve(r.Context(), w, t, rep, false)
 }
 
+// leads is the node that leads as far as this node knows of late: by a beat,
+// or, when the links between the nodes are down, by the state service. What
+// it knew before it was cut off from both is no help: workers would be sent
+// to and fro between it and a node that leads no more.
+func (l *Leader) leads(now time.Time) wire.NodeID {
+	v := l.Mesh.View()
+	if v.Leader != "" && now.Sub(v.Others[v.Leader].Heard) < 2*peer.X {
+		return v.Leader
+	}
+	if h := l.holder.Load(); h != nil && now.Sub(h.at) < peer.X && h.node != l.Config.HostName {
+		return h.node
+	}
+	return ""
+}
+
+// holder of the office by the state service's word.
+type holder struct {
+	node wire.NodeID
+	at   time.Time
+}
+
 // serve has the term's loop answer a report.
 func (l *Leader) serve(ctx context.Context, w http.ResponseWriter, t *term, rep wire.Report, relayed bool) {
-	ask := hello{rep: rep, relayed: relayed, reply: make(chan *wire.Orders, 1)}
+	ask := hello{rep: rep, relayed: relayed, reply: make(chan reply, 1)}
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	select {
@@ -179,14 +200,18 @@
 	case <-ctx.Done():
 	}
 	select {
-	case o := <-ask.reply:
-		if o == nil {
+	case a := <-ask.reply:
+		switch {
+		case a.here:
 			l.Metrics.Report("sent here")
 			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: l.Config.HostName})
-			return
+		case a.orders == nil:
+			l.Metrics.Report("refused")
+			wire.Refuse(w, http.StatusServiceUnavailable, a.refused, 1)
+		default:
+			l.Metrics.Report("ok")
+			wire.Answer(w, http.StatusOK, a.orders)
 		}
-		l.Metrics.Report("ok")
-		wire.Answer(w, http.StatusOK, o)
 	case <-t.over:
 		wire.Refuse(w, http.StatusServiceUnavailable, "no longer leads", 1)
 	case <-ctx.Done():
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -158,10 +158,13 @@
 			delete(t.gone, id)
 		}
 	}
+	// Reports come every report_s, give or take a quarter. A machine that is
+	// overdue is asked directly; two asks without an answer tell its end.
 	report := t.set.Workers.ReportS.Duration()
-	silentAfter := report*9/4 + time.Second
-	lostAfter := report*13/4 + 2*time.Second
-	up, silent, lost, relayed := 0, 0, 0, 0
+	silentAfter := report*13/10 + time.Second
+	lostAfter := silentAfter + 2*probeTimeout
+	up, silent, lost, relayed, deaf := 0, 0, 0, 0, 0
+	zoneUp, zoneLost := map[wire.Zone]int{}, map[wire.Zone]int{}
 	for _, m := range t.machines {
 		if m.booting || m.releasing {
 			continue
@@ -170,11 +173,16 @@
 		if m.relayed {
 			relayed++
 		}
+		if !m.hearing.deaf.IsZero() {
+			deaf++
+		}
+		zoneUp[m.zone]++
 		if t.silence(m, now) > silentAfter {
 			silent++
 		}
 		if t.silence(m, now) > lostAfter {
 			lost++
+			zoneLost[m.zone]++
 		}
 	}
 	t.l.Metrics.Machines(t.states())
@@ -188,8 +196,16 @@
 			}
 		}
 	}
+	// A zone most of whose machines are silent is cut off as a whole. They
+	// will be back, and what runs on them goes on until their leases end: they
+	// are kept, and returned only if the cut outlasts that by far.
+	cutZone := func(z wire.Zone) bool { return zoneLost[z] >= 4 && zoneLost[z]*2 > zoneUp[z] }
 	for _, m := range t.machines {
-		t.watchMachine(m, now, silentAfter, lostAfter, cutOff)
+		away := cutOff || cutZone(m.zone) && t.silence(m, now) < t.set.Workers.LeaseS.Duration()*5/2
+		t.watchMachine(m, now, silentAfter, lostAfter, away)
+		if deaf <= max(3, up/4) {
+			t.watchHearing(m, now)
+		}
 	}
 	if !t.deciding() || !t.recovered {
 		return
@@ -221,6 +237,27 @@
 	return n
 }
 
+// watchHearing returns a machine that reports but does not hear: at once when
+// something on it waits for a proof that it can't give, else when its lease
+// must have run out. When many seem deaf it is rather this node that is slow.
+func (t *term) watchHearing(m *machine, now time.Time) {
+	if m.hearing.deaf.IsZero() || m.releasing || !t.deciding() || !t.recovered {
+		return
+	}
+	if now.Sub(m.verified) > 2*time.Second {
+		m.verified = now
+		t.probe(m)
+	}
+	stuck := false
+	for _, a := range m.tasks {
+		stuck = stuck || !a.planned && (!a.seen || a.halting)
+	}
+	since := now.Sub(m.hearing.deaf)
+	if stuck && since > report(t)/2+2*time.Second && m.hearing.fails > 0 || since > t.set.Workers.LeaseS.Duration() {
+		t.release(m, "does not hear")
+	}
+}
+
 // silence is how long a machine has said nothing to this term.
 func (t *term) silence(m *machine, now time.Time) time.Duration {
 	return now.Sub(later(m.seenAt, t.born))
@@ -249,13 +286,14 @@
 		return
 	}
 	quiet := t.silence(m, now)
-	if quiet > silentAfter && m.probes < 2 && !m.busy {
+	if quiet > silentAfter && m.probes < 4 && !m.busy {
 		t.probe(m)
 	}
 	gone := !m.notice.IsZero() && now.After(m.notice.Add(time.Second)) && quiet > report(t)+time.Second
 	// A machine that an earlier leader used, that is in no list and says
 	// nothing has no address to probe; it is as lost as one that was probed.
-	if (quiet > lostAfter && (m.probes > 0 || m.addr == "") || gone) && !cutOff {
+	late := report(t)*13/4 + 2*time.Second
+	if (quiet > lostAfter && m.probes > 1 && m.lostToPeer || quiet > late && (m.probes > 0 || m.addr == "") || gone) && !cutOff {
 		t.release(m, "silent")
 		return
 	}
@@ -296,7 +334,10 @@
 	life += life/500 + 1500*time.Millisecond // two clocks of 0.05% each, and the step to a full second
 	// Up to when it first showed our token an earlier leader may have answered
 	// it; from then on only we can have.
-	last := later(m.answered, m.tokenAt)
+	// A new session has its full time even if no report of it was answered: a
+	// launch sent into it may run that long. (Tasks started right after a
+	// lease had run out were once given up at once, and started again.)
+	last := later(later(m.answered, m.tokenAt), m.shiftAt)
 	if m.baton < t.first {
 		// It may not have seen our token, so an earlier leader may have
 		// answered it: until X after a majority took our token, or B at most.
--- a/internal/leader/office.go
+++ b/internal/leader/office.go
@@ -45,7 +45,11 @@
 		if err == nil {
 			l.Mesh.Raise(ctx, wire.Token(e.Stamp))
 			var rec store.LeadRecord
-			if wire.Decode(e.Value, &rec) != nil || rec.Node != l.Config.HostName || rec.Nonce == l.nonce {
+			if wire.Decode(e.Value, &rec) != nil {
+				continue
+			}
+			l.holder.Store(&holder{rec.Node, time.Now()})
+			if rec.Node != l.Config.HostName || rec.Nonce == l.nonce {
 				continue
 			}
 			// Our own last life holds the office. It is over, since a host
@@ -61,6 +65,7 @@
 		} else if !errors.Is(err, store.ErrMissing) {
 			continue
 		}
+		l.holder.Store(nil)
 		if time.Now().Before(l.shunned) {
 			continue
 		}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/julienschmidt/httprouter"
+
 	"lilaclead/internal/netio"
+	"lilaclead/internal/peer"
 	"lilaclead/internal/placement"
 	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
@@ -30,6 +36,7 @@
 	seenAt   time.Time // last message from it
 	tokenAt  time.Time // when it first showed a token of this term
 	answered time.Time // last answer to a report of it
+	shiftAt  time.Time // when its session was first heard of
 	usedAt   time.Time // last time that a task was on it
 	upAt     time.Time // first report in this term
 	failed   bool      // the list says that it has stopped by itself
@@ -40,16 +47,21 @@
 	notice time.Time          // the cloud takes it then; zero: no notice
 	images imageCache
 
-	lost      lostCommand // the last launches that were never answered
-	busy      bool        // a direct command is under way
-	probes    int         // direct tries without an answer since seenAt
-	drain     string      // why it takes nothing new; empty: it does
-	releasing bool
-	cordoned  bool // see fleet.Plan
-	fullUntil time.Time
-	errs      map[wire.JobID]bool // jobs that failed here in a row
-	errCount  int
-	slow      slowStats
+	lost   lostCommand // the last launches that were never answered
+	busy   bool        // a direct command is under way
+	probes int         // direct tries without an answer since seenAt
+	// lostToPeer: the last of these went through another node, in vain too.
+	lostToPeer bool
+	verified   time.Time // when it was last asked directly because of an odd report
+	reborn     bool      // it began a new life with smaller counters; to be returned
+	hearing    hearing
+	drain      string // why it takes nothing new; empty: it does
+	releasing  bool
+	cordoned   bool // see fleet.Plan
+	fullUntil  time.Time
+	errs       map[wire.JobID]bool // jobs that failed here in a row
+	errCount   int
+	slow       slowStats
 }
 
 func (t *term) machine(id wire.MachineID) *machine {
@@ -66,26 +78,27 @@
 func (t *term) onHello(h hello) {
 	now := time.Now()
 	if !t.answering() {
-		return // the handler's time runs out, or the term's end answers
+		h.reply <- reply{refused: "can't tell whether this node still leads"}
+		return
 	}
 	o := &wire.Orders{Baton: t.token, Orders: []wire.Order{}}
 	if _, gone := t.gone[h.rep.Host]; gone {
-		// Released, and the cloud said so: only a late report can come.
-		h.reply <- o
+		// Released, and the cloud said so: only a late copy can come.
+		h.reply <- reply{refused: "this machine was returned"}
 		return
 	}
 	if !t.recovered {
-		t.early[h.rep.Host] = h.rep
+		if e, ok := t.early[h.rep.Host]; !ok || h.rep.Newer(e.Shift, e.Tally) {
+			t.early[h.rep.Host] = h.rep
+		}
 		m := t.machine(h.rep.Host)
 		m.seenAt, m.answered = now, now
-		h.reply <- o
+		h.reply <- reply{orders: o}
 		return
 	}
 	m := t.machine(h.rep.Host)
 	if !h.rep.Newer(m.shift, m.tally) {
-		// Held up on its way: it says nothing of now, not even which way
-		// the worker takes.
-		h.reply <- o
+		h.reply <- t.older(m, &h.rep, o, now)
 		return
 	}
 	if h.relayed {
@@ -95,7 +108,7 @@
 		first := m.directAt.IsZero() && m.sentAt.IsZero()
 		m.sentAt = now
 		if first {
-			h.reply <- nil
+			h.reply <- reply{here: true}
 			return
 		}
 		if !m.relayed {
@@ -105,18 +118,122 @@
 		m.directAt = now
 	}
 	m.relayed = h.relayed
+	t.listen(m, &h.rep, now)
 	t.apply(m, &h.rep, true, now)
 	m.answered = now
+	m.hearing.told, m.hearing.shift, m.hearing.tally = t.token, h.rep.Shift, h.rep.Tally
 	if t.deciding() {
 		o.Orders = t.orders(m, &h.rep, now)
 	}
-	h.reply <- o
+	h.reply <- reply{orders: o}
+}
+
+// crossing is how long after a message of a worker an older report of it may
+// still be waiting for its answer: workers give up after 4 s.
+const crossing = 4 * time.Second
+
+// older deals with a report that is not newer than what is known. Mostly it
+// has crossed the answer to a direct command; it may be a copy that comes
+// late, which says nothing of now, not even that the machine lives; and it
+// may come from a machine that was back at once and counts anew. The machine
+// itself is asked which.
+func (t *term) older(m *machine, rep *wire.Report, o *wire.Orders, now time.Time) reply {
+	crossed := now.Sub(m.seenAt) < crossing
+	if (!crossed || rep.Shift != m.shift || rep.Tally+2 < m.tally) && now.Sub(m.verified) > time.Second && !m.releasing && t.deciding() {
+		m.verified = now
+		t.probe(m)
+	}
+	if !crossed {
+		return reply{refused: "an older report than the last"}
+	}
+	m.answered = now
+	return reply{orders: o}
+}
+
+// reborn takes in the answer of a machine that counts from the start again:
+// it was back before anybody missed it. What its answer lacks is gone. It is
+// returned, as from now on its reports can't be told from late copies of its
+// last life.
+func (t *term) reborn(m *machine, rep *wire.Report, now time.Time) {
+	t.log().Info("machine began a new life", "machine", m.id, "tasks", len(m.tasks), "shift", rep.Shift, "tally", rep.Tally, "was_shift", m.shift, "was_tally", m.tally)
+	m.shift, m.tally = 0, 0
+	for _, a := range m.tasks {
+		a.helloTally = 0 // the answer that carried it went to the last life
+	}
+	t.drainMachine(m, "began a new life")
+	t.apply(m, rep, false, now)
+	m.reborn = true
+	t.release(m, "began a new life")
+}
+
+// hearing tells whether a machine whose reports come in hears us. Answers and
+// commands may be lost on their way while reports arrive: such a machine
+// looks alive, but starts nothing, and its lease runs out.
+type hearing struct {
+	// The last answer to a report of it: the token in it, and the report's
+	// place in the machine's life.
+	told  wire.Token
+	shift wire.Session
+	tally wire.Tally
+
+	ignored int       // answers in a row that it seems not to have had
+	fails   int       // direct commands in a row that were not answered
+	deaf    time.Time // since when it is taken not to hear us; zero: it does
+}
+
+// listen compares a report with what the machine was told in the answer to
+// an earlier one.
+func (t *term) listen(m *machine, rep *wire.Report, now time.Time) {
+	h := &m.hearing
+	switch {
+	case rep.Baton > m.baton && m.baton > 0:
+		t.hears(m)
+		return
+	case h.tally == 0:
+		return
+	case rep.Shift > h.shift && now.Sub(m.answered) < t.set.Workers.LeaseS.Duration()/2:
+		h.ignored += 2 // its lease ran out although its reports were answered
+	case rep.Shift != h.shift || rep.Tally <= h.tally:
+		return
+	case rep.Baton < h.told || t.unheard(m, rep):
+		h.ignored++
+	default:
+		return
+	}
+	if h.deaf.IsZero() && (h.ignored >= 2 || h.fails > 0) {
+		h.deaf = now
+		t.log().Info("machine reports but does not hear", "machine", m.id, "tasks", len(m.tasks))
+	}
+}
+
+// unheard tells whether an earlier answer carried a launch that the machine
+// should know of by now.
+func (t *term) unheard(m *machine, rep *wire.Report) bool {
+	for task, a := range m.tasks {
+		if a.seen || a.helloTally == 0 || a.helloShift != rep.Shift || rep.Tally <= a.helloTally {
+			continue
+		}
+		name := task.String()
+		if !slices.ContainsFunc(rep.Parts, func(p wire.PartState) bool { return p.Part == name && p.Try == a.try }) {
+			return true
+		}
+	}
+	return false
+}
+
+// hears notes that something of ours has reached the machine.
+func (t *term) hears(m *machine) {
+	if !m.hearing.deaf.IsZero() {
+		t.log().Info("machine hears again", "machine", m.id)
+		t.wantRound()
+	}
+	m.hearing.ignored, m.hearing.fails, m.hearing.deaf = 0, 0, time.Time{}
 }
 
 // apply takes in a report, however it came. It tells whether it was newer
 // than what was known.
 func (t *term) apply(m *machine, rep *wire.Report, viaHello bool, now time.Time) bool {
-	if !rep.Newer(m.shift, m.tally) {
+	if !rep.Newer(m.shift, m.tally) || m.reborn {
 		return false
 	}
 	if m.upAt.IsZero() {
@@ -126,6 +243,7 @@
 	}
 	if rep.Shift > m.shift {
 		m.images = imageCache{} // a new session may be a new life
+		m.shiftAt = now
 	}
 	m.addr, m.kit, m.zone, m.spot = rep.Addr, rep.Kit, rep.Site, rep.Standby
 	m.shift, m.tally, m.seenAt, m.booting, m.probes = rep.Shift, rep.Tally, now, false, 0
@@ -178,6 +296,9 @@
 // progress takes in the state of an attempt of ours.
 func (t *term) progress(a *attempt, p *wire.PartState, now time.Time) {
 	m, j := a.m, a.job
+	if a.sent && !a.seen {
+		t.hears(m)
+	}
 	a.seen = true
 	if p.Phase != wire.Pulling && p.Cause != wire.CauseFull && p.Cause != wire.CauseBusy && p.Cause != wire.CauseNoSuch &&
 		!(p.Phase == wire.Exited && a.phase == wire.Pulling && p.Cause == wire.CauseStopped) {
@@ -234,7 +355,7 @@
 		if a.halting && !a.planned {
 			out = append(out, haltOrder(task, a))
 			a.haltSent = now
-		} else if !a.planned && !a.seen && !a.directBusy && m.drain == "" && !a.job.cancelled && !a.inherited {
+		} else if !a.planned && !a.seen && !a.directBusy && m.drain == "" && !a.job.cancelled && !a.inherited && m.hearing.deaf.IsZero() {
 			out = append(out, wire.Order{Verb: wire.Launch, Part: task.String(), Try: a.try})
 			a.sent, a.sentShift, a.helloShift, a.helloTally = true, rep.Shift, rep.Shift, rep.Tally
 		}
@@ -323,14 +444,20 @@
 // command sends a direct command and takes in its answer.
 func (t *term) command(m *machine, cmd wire.Orders, launched []*attempt) {
 	m.busy = true
-	addr := m.addr
+	addr, asked := m.addr, position{m.shift, m.tally}
 	go func() {
-		rep, status, err := t.l.post(t.ctx, addr, cmd)
-		t.post(func() { t.commanded(m, cmd, launched, rep, status, err) })
+		rep, status, err := t.l.post(t.ctx, addr, cmd, commandTimeout)
+		t.post(func() { t.commanded(m, asked, cmd, launched, rep, status, err) })
 	}()
 }
 
-func (t *term) commanded(m *machine, cmd wire.Orders, launched []*attempt, rep *wire.Report, status int, err error) {
+// position in a machine's life.
+type position struct {
+	shift wire.Session
+	tally wire.Tally
+}
+
+func (t *term) commanded(m *machine, asked position, cmd wire.Orders, launched []*attempt, rep *wire.Report, status int, err error) {
 	m.busy = false
 	now := time.Now()
 	for _, a := range launched {
@@ -339,10 +466,18 @@
 	switch {
 	case err == nil && (status == http.StatusOK || status == http.StatusConflict) && rep.Host == m.id:
 		t.l.Metrics.Command("ok")
+		t.hears(m)
+		m.seenAt = now
+		if !rep.Newer(asked.shift, asked.tally) && !m.reborn {
+			// Made after we asked, and yet not newer than what we had then.
+			t.reborn(m, rep, now)
+			break
+		}
 		t.apply(m, rep, false, now)
 	case err != nil && wire.NotSent(err):
 		t.l.Metrics.Command("not sent")
 		m.probes++
+		m.hearing.fails++
 		for _, a := range launched {
 			if !a.seen {
 				a.sent = false // certainly never left; the next report's answer carries it
@@ -351,6 +486,7 @@
 	default:
 		t.l.Metrics.Command("lost")
 		m.probes++
+		m.hearing.fails++
 		t.log().Debug("command not answered", "machine", m.id, "orders", len(cmd.Orders), "err", err, "status", status)
 		for _, a := range launched {
 			a.lost, a.lostToken = true, cmd.Baton
@@ -364,12 +500,20 @@
 	}
 }
 
+const (
+	// commandTimeout is how long a command's answer is waited for. What is
+	// not answered may still be executed: launches are careful with it.
+	commandTimeout = 2500 * time.Millisecond
+	// probeTimeout is shorter, as two in a row tell a machine's end.
+	probeTimeout = 1500 * time.Millisecond
+)
+
 // post sends a command to a worker.
-func (l *Leader) post(ctx context.Context, addr string, cmd wire.Orders) (*wire.Report, int, error) {
+func (l *Leader) post(ctx context.Context, addr string, cmd wire.Orders, timeout time.Duration) (*wire.Report, int, error) {
 	if cmd.Orders == nil {
 		cmd.Orders = []wire.Order{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2500*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	status, raw, _, err := netio.Call(ctx, l.direct, "POST", "http://"+addr+"/commands", cmd, 1<<20)
 	if err != nil {
@@ -389,18 +533,80 @@
 	}
 	shift := max(m.shift, 1)
 	m.busy = true
-	addr, cmd := m.addr, wire.Orders{Baton: t.token, Shift: shift}
+	addr, cmd, asked := m.addr, wire.Orders{Baton: t.token, Shift: shift, Orders: []wire.Order{}}, position{m.shift, m.tally}
+	ask := func() (*wire.Report, int, error) { return t.l.post(t.ctx, addr, cmd, probeTimeout) }
+	// What doesn't answer this node is asked once more through another one: it
+	// may be only the way from here that is cut.
+	helper := wire.NodeID("")
+	if m.probes > 0 {
+		if helper = t.l.helper(time.Now()); helper != "" {
+			ask = func() (*wire.Report, int, error) { return t.l.askVia(t.ctx, helper, addr, cmd) }
+		}
+	}
 	go func() {
-		rep, status, err := t.l.post(t.ctx, addr, cmd)
+		rep, status, err := ask()
 		if err == nil && status == http.StatusConflict && rep.Shift != cmd.Shift && rep.Baton <= cmd.Baton {
 			// Wrong session: now we know the right one.
 			cmd.Shift = rep.Shift
-			rep, status, err = t.l.post(t.ctx, addr, cmd)
+			rep, status, err = ask()
 		}
-		t.post(func() { t.commanded(m, cmd, nil, rep, status, err) })
+		t.post(func() {
+			t.commanded(m, asked, cmd, nil, rep, status, err)
+			m.lostToPeer = err != nil && helper != ""
+		})
 	}()
 }
 
+// relayed is a command that another node passes on to a worker.
+type relayed struct {
+	Addr   string      `cbor:"addr"`
+	Orders wire.Orders `cbor:"orders"`
+}
+
+// helper is some other node that is linked to this one.
+func (l *Leader) helper(now time.Time) wire.NodeID {
+	var near []wire.NodeID
+	for id, o := range l.Mesh.View().Others {
+		if now.Sub(o.Heard) < peer.X {
+			near = append(near, id)
+		}
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	return near[rand.IntN(len(near))]
+}
+
+// askVia asks a worker for its report through another node.
+func (l *Leader) askVia(ctx context.Context, node wire.NodeID, addr string, cmd wire.Orders) (*wire.Report, int, error) {
+	status, raw, err := l.Mesh.Relay(ctx, node, "/peer/ask", relayed{addr, cmd})
+	if err != nil {
+		return nil, 0, err
+	}
+	var rep wire.Report
+	if status != http.StatusOK && status != http.StatusConflict || wire.Decode(raw, &rep) != nil {
+		return nil, status, errors.New("not reached through " + string(node))
+	}
+	return &rep, status, nil
+}
+
+// Ask handles a leader's question to a worker that the leader can't reach.
+// It passes on no launches: those the leader keeps account of itself.
+func (l *Leader) Ask(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	raw, err := wire.ReadBody(r.Body, wire.MaxBody)
+	var a relayed
+	if err != nil || wire.Decode(raw, &a) != nil || a.Addr == "" || len(a.Orders.Orders) > 0 {
+		wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: "not a question to a worker"})
+		return
+	}
+	rep, status, err := l.post(r.Context(), a.Addr, a.Orders, probeTimeout)
+	if err != nil {
+		wire.Refuse(w, http.StatusBadGateway, "worker not reached", 1)
+		return
+	}
+	wire.Answer(w, status, rep)
+}
+
 // probesMost is how many machines are asked directly in a tenth of a second.
 // All at once, those of a large deployment would hold up the renewals and the
 // reports behind them.
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -20,8 +20,14 @@
 type hello struct {
 	rep     wire.Report
 	relayed bool // by another node
-	// reply gets the answer, or nil: the worker should come itself.
-	reply chan *wire.Orders
+	reply   chan reply
+}
+
+// reply to a report.
+type reply struct {
+	orders  *wire.Orders // the answer; nil: none
+	here    bool         // the worker should come to this node itself
+	refused string       // why the report is not answered
 }
 
 // term is one time in office. Its loop owns everything below the line; the
--- a/node.go
+++ b/node.go
@@ -182,6 +182,7 @@
 	r := router()
 	r.Handler("POST", "/peer/beats", n.mesh)
 	r.POST("/peer/hello", n.leader.Relayed)
+	r.POST("/peer/ask", n.leader.Ask)
 	n.admin.Routes(r)
 	return r
 }
