--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -66,6 +66,8 @@
 	Class   string       `toml:"class"`
 	WithinS wire.Seconds `toml:"within_s"`
 	Share   float64      `toml:"share"`
+	// Times is the multiple of a job's own deadline that a deadline aim means.
+	Times float64 `toml:"times"`
 }
 
 // Workers says how workers behave.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,8 @@
 	ZoneLeft map[wire.Zone]int
 	// SlackS is how long the units may wait for room and still be in time.
 	SlackS float64
+	// Dear stretches the limit on the price; 0 leaves it as it is.
+	Dear float64
 }
 
 // Snapshot is all that a plan looks at.
@@ -219,7 +221,7 @@
 			if best < 0 {
 				break
 			}
-			if !d.Spec.Service() && s.Cheapest != nil && bestCost > s.DearLimit*s.Cheapest(d.Spec) {
+			if !d.Spec.Service() && s.Cheapest != nil && bestCost > s.DearLimit*max(1, d.Dear)*s.Cheapest(d.Spec) {
 				break // it is better late than at that price
 			}
 			o := &offers[best]
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -606,9 +606,17 @@
 		}
 		used[j.spec.Owner] = used[j.spec.Owner].Plus(take.Times(float64(units)))
 		d := fleet.Demand{Spec: &j.spec, Units: units, Rank: float64(j.spec.Urgency.Rank()), SlackS: t.slack(j, now) * stretch}
-		if j.spec.Service() {
+		switch {
+		case j.spec.Service():
 			d.Rank += 10
-		}
+		case t.starves(j, now):
+			// Room is had for its first task at any price.
+			first := d
+			first.Units, first.Rank, first.Dear = 1, d.Rank+5, math.Inf(1)
+			out = append(out, first)
+			d.Units--
+		}
+		d.Dear = t.dearer(j, now)
 		if j.spec.Apart || j.spec.SamePlace {
 			d.ZoneLeft = map[wire.Zone]int{}
 			held := map[wire.Zone]int{}
@@ -638,29 +646,79 @@
 
 // due is when the job should be complete, counted from its submission: what
 // its owner says, else what the users' aims say of its class, else a few times
-// its expected run time.
-func (t *term) due(j *job) float64 {
-	if j.spec.Due > 0 {
-		return float64(j.spec.Due)
-	}
+// its expected run time. Aims may name several times for a class; the first
+// that can still be met counts, else the last.
+func (t *term) due(j *job, now time.Time) float64 {
+	need := now.Sub(j.at).Seconds() + j.expected()
+	due, ok := float64(j.spec.Due), j.spec.Due > 0
 	for _, o := range t.set.Objectives {
-		if o.Kind == "finished" && o.Class == j.spec.Lane && o.WithinS > 0 {
-			return float64(o.WithinS)
+		at := 0.0
+		switch {
+		case o.Class != j.spec.Lane:
+		case o.Kind == "finished":
+			at = float64(o.WithinS)
+		case o.Kind == "deadline":
+			at = float64(j.spec.Due) * o.Times
 		}
+		switch {
+		case at <= 0:
+		case !ok, due < need && at > due, at >= need && at < due:
+			due, ok = at, true
+		}
+	}
+	if !ok {
+		return 3*j.expected() + 30
 	}
-	return 3*j.expected() + 30
+	return due
 }
 
 // slack is how long the job's waiting tasks may still wait.
 func (t *term) slack(j *job, now time.Time) float64 {
-	return t.due(j) - now.Sub(j.at).Seconds() - j.expected()
+	return t.due(j, now) - now.Sub(j.at).Seconds() - j.expected()
+}
+
+const (
+	// dearWait is the share of its time that a job waits for cheap room
+	// before it may rent at dearStretch times the limit.
+	dearWait    = 0.3
+	dearStretch = 1.25
+	// startBy is when every job should have begun, whatever else waits. Half
+	// of it may pass before the exception is made that sees to it.
+	startBy = 4 * time.Minute
+)
+
+// dearer tells how far a job may go beyond the limit on the price: cheap room
+// has not come for a while, and dear room would still bring it home in time.
+func (t *term) dearer(j *job, now time.Time) float64 {
+	if j.spec.Service() {
+		return 1
+	}
+	boot := math.Inf(1)
+	for _, f := range t.l.Flavors.Get() {
+		if f.Fits(&j.spec) && f.PullGBPerS > 0 {
+			boot = min(boot, float64(f.ReadyS)+j.spec.ImageGB/f.PullGBPerS)
+		}
+	}
+	due, age := t.due(j, now), now.Sub(j.at).Seconds()
+	if age > dearWait*due && age+boot+j.expected() < due {
+		return dearStretch
+	}
+	return 1
+}
+
+// starves tells whether an array has waited so long without a start that its
+// first task goes before everything but services. Little work left, prices
+// and priorities order the rest; under a steady overload they would keep a
+// large or cheap job waiting for ever.
+func (t *term) starves(j *job, now time.Time) bool {
+	return !j.spec.Service() && j.done == 0 && j.held == 0 && now.Sub(j.at) > startBy/2
 }
 
 // parallel is how many of a job's waiting tasks should run at a time.
 func (t *term) parallel(j *job, now time.Time, stretch float64) int {
 	n := j.pending()
 	est := max(1, j.expected())
-	window := (t.due(j) - now.Sub(j.at).Seconds()) * stretch
+	window := (t.due(j, now) - now.Sub(j.at).Seconds()) * stretch
 	rounds := max(1, int(window/est))
 	return (n + rounds - 1) / rounds
 }
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -93,6 +93,9 @@
 	return out
 }
 
+// starvingWeight lies above that of every array and below that of services.
+const starvingWeight = 100
+
 // weight of one unit of a job: priority first, then guarantee and deadline.
 func (t *term) weight(j *job, guaranteed bool, now time.Time) float64 {
 	w := [4]float64{1, 2, 8, 256}[j.spec.Urgency.Rank()]
@@ -225,6 +228,9 @@
 	for _, j := range js {
 		pj := placement.Job{Spec: &j.spec, Pending: j.pending(), ZoneHeld: map[wire.Zone]int{},
 			WaitedS: now.Sub(j.at).Seconds(), Avoid: j.failedOn, Guaranteed: sure[j.spec.ID], Weight: t.weight(j, sure[j.spec.ID], now)}
+		if t.starves(j, now) {
+			pj.Pending, pj.Weight = 1, starvingWeight
+		}
 		if j.fails > 0 {
 			pj.Pending = min(pj.Pending, max(1, 2-j.held)) // try a suspect job with little
 		}
