--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -80,6 +80,13 @@
 	if got := ask("POST", "/v1/jobs", spec); got != 503 {
 		t.Errorf("a submission that can't be judged: %d", got)
 	}
+	// The user's next question should go to a node that can answer: this
+	// connection ends.
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("GET", "/v1/jobs/req-4", nil))
+	if w.Code != 503 || w.Header().Get("Connection") != "close" || w.Header().Get("Retry-After") == "" {
+		t.Errorf("a poll with the state service away: %d %v", w.Code, w.Header())
+	}
 }
 
 // The memory of final states is bounded and keeps the newest.
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -22,6 +22,10 @@
 	NotDone      Rule = "not_done"
 	WentBack     Rule = "went_back"
 	NothingRan   Rule = "nothing_ran"
+	// Unserved is checked at the end of a day: half of each class, of each
+	// team and of each class's largest jobs must have begun, the largest ones
+	// within four minutes.
+	Unserved Rule = "unserved"
 )
 
 // Break of a rule.
@@ -57,6 +61,8 @@
 	ever  map[wire.Task]bool
 	// lastAnswered is when a user's poll was last answered.
 	lastAnswered time.Time
+	// calm is since when all troubles are over; zero: not yet.
+	calm time.Time
 }
 
 type seen struct {
@@ -67,6 +73,8 @@
 	cancelled time.Time // when a user was told
 	done      map[int]bool
 	unread    time.Time // since when every poll failed
+	at        time.Time // of the acceptance
+	began     time.Time // of the first task
 }
 
 // NewChecker makes a checker.
@@ -88,7 +96,9 @@
 // Accepted notes a 201 or 200 to a submission.
 func (c *Checker) Accepted(id wire.JobID, now time.Time) {
 	if j := c.jobs[id]; j != nil {
-		j.accepted = true
+		if !j.accepted {
+			j.accepted, j.at = true, now
+		}
 		j.unread = time.Time{}
 	} else {
 		c.broke(now, Invented, "%s accepted", id)
@@ -124,7 +134,10 @@
 	case j != nil && j.accepted:
 		if j.unread.IsZero() {
 			j.unread = now
-		} else if now.Sub(j.unread) > 90*time.Second && now.Sub(c.lastAnswered) < 10*time.Second {
+		}
+		others := now.Sub(j.unread) > 90*time.Second && now.Sub(c.lastAnswered) < 10*time.Second
+		calm := !c.calm.IsZero() && now.Sub(c.calm) > 75*time.Second && now.Sub(j.unread) > 75*time.Second
+		if others || calm {
 			c.broke(now, Forgotten, "every poll for %s fails", id)
 			j.unread = time.Time{}
 		}
@@ -173,6 +186,9 @@
 		c.broke(now, RanTwice, "%s runs on %s and is started on %s", t, at.Machine, p.Machine)
 	}
 	c.on[t] = p
+	if j.began.IsZero() {
+		j.began = now
+	}
 	s := &j.spec
 	if p.Spot && !s.Standby || s.Site != "" && s.Site != p.Zone || s.Kits != nil && !slices.Contains(s.Kits, p.Kit) {
 		c.broke(now, WrongPlace, "%s on %v", t, p)
@@ -224,8 +240,51 @@
 	}
 }
 
+// Calm notes that all troubles are over from now on.
+func (c *Checker) Calm(now time.Time) { c.calm = now }
+
+// beginBy is when the largest jobs must have begun.
+const beginBy = 4 * time.Minute
+
+// served checks that no class, team or size was left out.
+func (c *Checker) served(now time.Time) {
+	type tally struct{ all, served int }
+	count := map[string]*tally{}
+	add := func(what string, served bool) {
+		k := count[what]
+		if k == nil {
+			k = &tally{}
+			count[what] = k
+		}
+		k.all++
+		if served {
+			k.served++
+		}
+	}
+	largest := map[string]int{}
+	for _, j := range c.jobs {
+		largest[j.spec.Lane] = max(largest[j.spec.Lane], j.spec.Parts)
+	}
+	for _, j := range c.jobs {
+		if !j.accepted || j.cancelReq || now.Sub(j.at) < beginBy {
+			continue
+		}
+		add("class "+j.spec.Lane, !j.began.IsZero())
+		add("team "+string(j.spec.Owner), !j.began.IsZero())
+		if j.spec.Parts*2 > largest[j.spec.Lane] {
+			add("the largest of class "+j.spec.Lane, !j.began.IsZero() && j.began.Sub(j.at) <= beginBy)
+		}
+	}
+	for what, k := range count {
+		if k.served*2 < k.all {
+			c.broke(now, Unserved, "%s: %d of %d", what, k.served, k.all)
+		}
+	}
+}
+
 // End closes the books.
 func (c *Checker) End(now time.Time) {
+	c.served(now)
 	if c.runs == 0 {
 		c.broke(now, NothingRan, "no task was started")
 	}
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -53,6 +53,21 @@
 			c.Told("req-1", wire.Cancelled, t0)
 			c.Polled("req-1", 200, wire.Running, t0)
 		}},
+		"polls fail when all is well": {Forgotten, func(c *Checker) {
+			c.Calm(t0)
+			for s := range 80 {
+				c.Polled("req-1", 503, "", t0.Add(time.Duration(s)*time.Second))
+			}
+		}},
+		"a class never begins": {Unserved, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Lane: "other", Owner: "blue"})
+			c.Started(wire.Task{Job: "req-2"}, here, t0)
+			c.End(t0.Add(5 * time.Minute))
+		}},
+		"the largest begin late": {Unserved, func(c *Checker) {
+			c.Started(task(0), here, t0.Add(250*time.Second))
+			c.End(t0.Add(5 * time.Minute))
+		}},
 		"nothing ran": {NothingRan, func(c *Checker) { c.End(t0) }},
 		"polls fail": {Forgotten, func(c *Checker) {
 			other := spec
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -24,12 +24,13 @@
 	conns     map[*conn]bool
 	down      map[string]bool    // hosts without power: silent
 	held      map[[2]string]bool // from, to: packets wait
+	deaf      map[string]bool    // hosts that nothing reaches, though they are heard
 	latency   time.Duration
 }
 
 // NewNetwork makes a network.
 func NewNetwork(latency time.Duration) *Network {
-	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, down: map[string]bool{}, held: map[[2]string]bool{}, latency: latency}
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, down: map[string]bool{}, held: map[[2]string]bool{}, deaf: map[string]bool{}, latency: latency}
 }
 
 // Host is the network as one host sees it.
@@ -101,7 +102,7 @@
 	defer cancel()
 	for {
 		n.mu.Lock()
-		silent := n.down[from] || n.down[hostOf(to)] || n.held[[2]string{from, hostOf(to)}] || n.held[[2]string{hostOf(to), from}]
+		silent := n.down[from] || n.down[hostOf(to)] || n.deaf[hostOf(to)] || n.held[[2]string{from, hostOf(to)}] || n.held[[2]string{hostOf(to), from}]
 		l := n.listeners[to]
 		n.mu.Unlock()
 		if !silent {
@@ -154,7 +155,7 @@
 // arrive moves what is on its way into the buffer, unless the link is held.
 func (p *pipe) arrive() {
 	p.n.mu.Lock()
-	blocked := p.n.held[[2]string{p.from, p.to}] || p.n.down[p.to] || p.n.down[p.from]
+	blocked := p.n.held[[2]string{p.from, p.to}] || p.n.down[p.to] || p.n.down[p.from] || p.n.deaf[p.to]
 	p.n.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -332,14 +333,29 @@
 	n.mu.Lock()
 	n.held[[2]string{from, to}] = hold
 	n.mu.Unlock()
-	if !hold {
-		for _, c := range n.matching(every) {
-			c.in.arrive()
-			c.out.arrive()
-		}
+	n.release(hold)
+}
+
+// release lets what waited on open connections through, unless it must go on
+// waiting.
+func (n *Network) release(hold bool) {
+	if hold {
+		return
+	}
+	for _, c := range n.matching(every) {
+		c.in.arrive()
+		c.out.arrive()
 	}
 }
 
+// Deafen makes a host one that nothing reaches, while what it sends arrives.
+func (n *Network) Deafen(ip string, on bool) {
+	n.mu.Lock()
+	n.deaf[ip] = on
+	n.mu.Unlock()
+	n.release(on)
+}
+
 // Cut holds up both directions.
 func (n *Network) Cut(a, b string, cut bool) {
 	n.Hold(a, b, cut)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -35,6 +35,8 @@
 	tasks    map[wire.Task]*run
 	cached   map[wire.ImageID]bool
 	poke     chan struct{}
+	life     int         // counts the machine's own restarts
+	sent     wire.Report // the last report
 }
 
 type run struct {
@@ -87,7 +89,8 @@
 	at := 0
 	for m.ctx.Err() == nil {
 		w.mu.Lock()
-		rep := m.report()
+		rep, life := m.report(), m.life
+		m.sent = rep
 		w.mu.Unlock()
 		sent := time.Now()
 		status, body := m.post(hc, "http://"+NodeIP(at)+":8080/hello", rep)
@@ -96,7 +99,7 @@
 		case http.StatusOK:
 			var o wire.Orders
 			if wire.Decode(body, &o) == nil {
-				m.obey(&o, rep.Shift, sent)
+				m.obey(&o, life, rep.Shift, sent)
 			}
 		case http.StatusMisdirectedRequest:
 			var e wire.Elsewhere
@@ -140,10 +143,10 @@
 }
 
 // obey takes the answer of a report that was sent in the given session.
-func (m *worker) obey(o *wire.Orders, shift wire.Session, sent time.Time) {
+func (m *worker) obey(o *wire.Orders, life int, shift wire.Session, sent time.Time) {
 	m.w.mu.Lock()
 	defer m.w.mu.Unlock()
-	if m.dead || o.Baton < m.baton || o.Baton == 0 || shift != m.shift {
+	if m.dead || o.Baton < m.baton || o.Baton == 0 || shift != m.shift || life != m.life {
 		return
 	}
 	m.see(o.Baton)
@@ -165,11 +168,7 @@
 		sleep(m.ctx, 100*time.Millisecond)
 		m.w.mu.Lock()
 		if time.Since(m.answered).Seconds()*m.drift > float64(m.w.Set.Workers.LeaseS) && !m.dead {
-			for t, x := range m.tasks {
-				x.cancel()
-				m.w.check.Left(t, m.id, false)
-			}
-			m.tasks = map[wire.Task]*run{}
+			m.lose()
 			m.shift++
 			m.answered = time.Now()
 			m.changed()
@@ -178,6 +177,15 @@
 	}
 }
 
+// lose ends all tasks; call with the lock held.
+func (m *worker) lose() {
+	for t, x := range m.tasks {
+		x.cancel()
+		m.w.check.Left(t, m.id, false)
+	}
+	m.tasks = map[wire.Task]*run{}
+}
+
 func (m *worker) handle(rw http.ResponseWriter, r *http.Request) {
 	raw, err := wire.ReadBody(r.Body, 1<<20)
 	if err != nil {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -502,6 +503,64 @@
 	}
 }
 
+// Rebirth restarts a machine at once: it reports like a new worker, and its
+// tasks and images are gone.
+func (w *World) Rebirth(id wire.MachineID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.machines[id]; m != nil {
+		m.lose()
+		m.life++
+		m.shift, m.tally, m.baton = 1, 0, 0
+		m.answered, m.cached = time.Now(), map[wire.ImageID]bool{}
+		m.changed()
+	}
+}
+
+// Copy takes the last report of a machine and sends copies of it to all nodes
+// after the given times, whatever has become of the machine.
+func (w *World) Copy(id wire.MachineID, after ...time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.machines[id]
+	if m == nil {
+		return
+	}
+	rep := m.sent
+	for _, d := range after {
+		w.spawn(func() {
+			sleep(w.ctx, d)
+			for i := range w.nodes {
+				w.Ask(i, "POST", "/hello", rep)
+			}
+		})
+	}
+}
+
+// Holds lists the machines that run tasks of a job.
+func (w *World) Holds(id wire.JobID) []wire.MachineID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []wire.MachineID
+	for t, p := range w.check.on {
+		if t.Job == id && !slices.Contains(out, p.Machine) {
+			out = append(out, p.Machine)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// IP of a machine.
+func (w *World) IP(id wire.MachineID) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.machines[id]; m != nil {
+		return m.ip
+	}
+	return ""
+}
+
 // Sick makes a machine fail every task from now on.
 func (w *World) Sick(id wire.MachineID) {
 	w.mu.Lock()
--- /dev/null
+++ b/troubles_test.go
@@ -0,0 +1,264 @@
+package lilaclead_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/wire"
+)
+
+// sized is the default deployment with another number of controllers.
+func sized(n int) config.Settings {
+	s := standin.DefaultSettings()
+	s.Size = n
+	return s
+}
+
+// A machine's reports arrive, but answers and commands don't reach it. It
+// looks alive, so only what it does not do tells. Its replicas must be back
+// elsewhere soon after its lease has ended them, what is cancelled there must
+// be gone in time, and a job that comes meanwhile must not wait for it.
+func TestDeafMachine(t *testing.T) {
+	for _, inherited := range []bool{false, true} {
+		t.Run(fmt.Sprint("inherited ", inherited), func(t *testing.T) {
+			play(t, 30, func(w *standin.World, at func(time.Duration)) {
+				s, gone, a := service(1, 4), service(2, 4), array(3, 6, 10)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(gone, 55*time.Second)
+				at(45 * time.Second)
+				on := w.Holds(s.Spec.ID)
+				if len(on) == 0 {
+					t.Fatal("no replica runs")
+				}
+				w.Net.Deafen(w.IP(on[0]), true)
+				if inherited {
+					// The next leader can never show its token to the machine.
+					l := w.Leader()
+					w.Kill(l)
+					time.Sleep(5 * time.Second)
+					w.Up(l)
+				}
+				at(52 * time.Second)
+				w.Submit(a, 0)
+				at(90 * time.Second)
+				w.Checked(func(c *standin.Checker) {
+					if n := c.On(s.Spec.ID); n != 4 {
+						t.Errorf("%d of 4 replicas while a machine does not hear", n)
+					}
+				})
+				mustFinish(t, w, a)
+				at(130 * time.Second)
+				w.Net.Deafen(w.IP(on[0]), false)
+				at(200 * time.Second)
+				w.Checked(func(c *standin.Checker) {
+					if n := c.On(s.Spec.ID); n != 4 {
+						t.Errorf("%d of 4 replicas afterwards", n)
+					}
+				})
+			})
+		})
+	}
+}
+
+// Copies of reports come late, from seconds to more than a lease: of live
+// machines, of machines that are gone, and as the first that a new leader
+// hears of a machine. They must free nothing, bring nothing back, and not
+// make a dead machine seem alive.
+func TestLateCopiesOfReports(t *testing.T) {
+	playAs(t, sized(5), 31, func(w *standin.World, at func(time.Duration)) {
+		s, a := service(1, 4), array(2, 12, 30)
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		w.Submit(a, 0)
+		var late []time.Duration
+		for d := 2; d < 60; d += 3 {
+			late = append(late, time.Duration(d)*time.Second)
+		}
+		copies := func() {
+			for _, id := range append(w.Holds(s.Spec.ID), w.Holds(a.Spec.ID)...) {
+				w.Copy(id, late...)
+			}
+		}
+		at(40 * time.Second)
+		copies()
+		at(50 * time.Second)
+		// A machine with replicas dies while copies of its reports come in.
+		on := w.Holds(s.Spec.ID)
+		if w.Take(1, func(_ bool, tasks int) bool { return tasks > 0 }) != 1 || len(on) == 0 {
+			t.Fatal("nothing to take")
+		}
+		at(70 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			if n := c.On(s.Spec.ID); n != 4 {
+				t.Errorf("%d of 4 replicas 20 s after a machine's end", n)
+			}
+		})
+		copies()
+		l := w.Leader()
+		w.Kill(l)
+		w.Take(1, func(_ bool, tasks int) bool { return tasks > 0 })
+		time.Sleep(300 * time.Millisecond)
+		w.Up(l)
+		at(100 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			if n := c.On(s.Spec.ID); n != 4 {
+				t.Errorf("%d of 4 replicas 30 s after the leader's and a machine's end", n)
+			}
+		})
+		at(200 * time.Second)
+		mustFinish(t, w, a)
+	})
+}
+
+// A machine is back within a moment and counts from the start again. Its
+// reports must not be taken for late copies for ever: what it ran is started
+// elsewhere well before its lease or anybody's patience ends.
+func TestMachineBackAtOnce(t *testing.T) {
+	play(t, 32, func(w *standin.World, at func(time.Duration)) {
+		s, a := service(1, 4), array(2, 8, 60)
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		w.Submit(a, 0)
+		at(45 * time.Second)
+		on := w.Holds(s.Spec.ID)
+		for _, id := range on {
+			w.Copy(id, 3*time.Second, 9*time.Second, 20*time.Second)
+			w.Rebirth(id)
+		}
+		at(50 * time.Second)
+		for _, id := range on {
+			if w.IP(id) != "" {
+				t.Errorf("%s was not noticed within 5 s", id)
+			}
+		}
+		at(75 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			if n := c.On(s.Spec.ID); n != 4 {
+				t.Errorf("%d of 4 replicas after 30 s", n)
+			}
+		})
+		at(200 * time.Second)
+		mustFinish(t, w, a)
+	})
+}
+
+// A leader loses the state service and the other controllers, not its
+// workers: it must stop answering them, and they must find the next leader
+// before their leases end.
+func TestLeaderCutFromAllButItsWorkers(t *testing.T) {
+	for _, size := range []int{5, 7} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			playAs(t, sized(size), 33, func(w *standin.World, at func(time.Duration)) {
+				s, a := service(1, 4), array(2, 12, 40)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(a, 0)
+				at(40 * time.Second)
+				l := w.Leader()
+				cut := func(on bool) {
+					for i := range size {
+						if i != l {
+							w.Net.Cut(standin.NodeIP(l), standin.NodeIP(i), on)
+						}
+					}
+					w.Net.Cut(standin.NodeIP(l), "10.2.0.1", on)
+				}
+				cut(true)
+				at(55 * time.Second)
+				if n := w.Leader(); n == l || n < 0 {
+					t.Errorf("leader is %d, was %d", n, l)
+				}
+				if status, _, _ := w.Ask(l, "GET", "/ready", nil); status != 503 {
+					t.Errorf("/ready of a node that reaches neither state service nor peers answers %d", status)
+				}
+				at(70 * time.Second)
+				w.Checked(func(c *standin.Checker) {
+					if c.On(s.Spec.ID) != 4 || c.Again() != 0 {
+						t.Errorf("%d of 4 replicas, %d tasks started again", c.On(s.Spec.ID), c.Again())
+					}
+				})
+				cut(false)
+				at(160 * time.Second)
+				mustFinish(t, w, a)
+			})
+		})
+	}
+}
+
+// A user's connection is at a node that the state service refuses while it
+// serves others: the node says so at once and leaves the load balancer's set.
+func TestUserAtANodeThatCannotAnswer(t *testing.T) {
+	play(t, 34, func(w *standin.World, at func(time.Duration)) {
+		a := array(1, 2, 100)
+		at(2 * time.Second)
+		w.Submit(a, 0)
+		at(20 * time.Second)
+		i := (w.Leader() + 1) % 3
+		w.State.Refuse(standin.NodeIP(i), true)
+		at(24 * time.Second)
+		begin := time.Now()
+		status, _, h := w.Ask(i, "GET", "/v1/jobs/req-000001", nil)
+		if status != http.StatusServiceUnavailable || h.Get("Retry-After") != "1" || time.Since(begin) > time.Second {
+			t.Errorf("poll answered %d, %v, after %v", status, h, time.Since(begin))
+		}
+		if status, _, _ := w.Ask(i, "GET", "/ready", nil); status != 503 {
+			t.Errorf("/ready answers %d", status)
+		}
+		at(40 * time.Second)
+		w.State.Refuse(standin.NodeIP(i), false)
+		w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+		at(200 * time.Second)
+		mustFinish(t, w, a)
+	})
+}
+
+// Under a steady overload of small arrays a large one and one of the lowest
+// priority must begin within four minutes all the same.
+func TestLargestBeginsUnderOverload(t *testing.T) {
+	playAs(t, sized(3), 35, func(w *standin.World, at func(time.Duration)) {
+		big, low := array(1, 90, 30), array(2, 4, 20)
+		big.Spec.CPUs, big.Spec.RAM, big.Spec.Lane = 4, 16, "big"
+		low.Spec.Urgency, low.Spec.Lane = wire.BestEffort, "low"
+		at(2 * time.Second)
+		for n := range 10 {
+			w.Submit(array(100+n, 8, 20), 0)
+		}
+		at(5 * time.Second)
+		w.Submit(big, 0)
+		w.Submit(low, 0)
+		for n := range 60 {
+			at(time.Duration(6+5*n) * time.Second)
+			w.Submit(array(200+n, 10, 30), 0)
+		}
+		at(310 * time.Second)
+	})
+}
+
+// The largest array that the protocol allows is stored, run, polled and
+// cancelled within the limits of the state service.
+func TestHundredThousandTasks(t *testing.T) {
+	play(t, 36, func(w *standin.World, at func(time.Duration)) {
+		j, s := array(1, wire.MaxParts, 20), service(2, 3)
+		j.Spec.Expected = 2
+		at(2 * time.Second)
+		w.Submit(j, 100*time.Second)
+		w.Submit(s, 0)
+		at(60 * time.Second)
+		status, raw, _ := w.Ask(1, "GET", "/v1/jobs/req-000001", nil)
+		var st wire.JobState
+		if status != 200 || wire.Decode(raw, &st) != nil || st.Running == 0 {
+			t.Errorf("poll answered %d %+v", status, st)
+		}
+		at(150 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			if n, r := c.On(j.Spec.ID), c.On(s.Spec.ID); n != 0 || r != 3 {
+				t.Errorf("%d tasks of the cancelled array, %d of 3 replicas", n, r)
+			}
+		})
+	})
+}
--- a/world_test.go
+++ b/world_test.go
@@ -48,12 +48,18 @@
 // play runs a world in virtual time: all nodes up, some jobs, and then what
 // the test does to it; at the end every rule must have held.
 func play(t *testing.T, seed uint64, script func(w *standin.World, at func(time.Duration))) {
+	t.Helper()
+	playAs(t, standin.DefaultSettings(), seed, script)
+}
+
+// playAs is play with settings of the test's own.
+func playAs(t *testing.T, set config.Settings, seed uint64, script func(w *standin.World, at func(time.Duration))) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := standin.NewWorld(ctx, standin.DefaultSettings(), seed, start, nil)
+		w := standin.NewWorld(ctx, set, seed, start, nil)
 		begin := time.Now()
-		for i := range 3 {
+		for i := range set.Size {
 			if err := w.Up(i); err != nil {
 				t.Fatal(err)
 			}
