--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -577,6 +577,7 @@
 		}
 	}
 	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spec.ID, b.spec.ID)) })
+	waits := t.queueing(jobs, now)
 	var out []fleet.Demand
 	used := map[wire.TeamID]placement.Res{}
 	for _, j := range t.jobs {
@@ -616,7 +617,7 @@
 			out = append(out, first)
 			d.Units--
 		}
-		d.Dear = t.dearer(j, now)
+		d.Dear = t.dearer(j, waits[j], now)
 		if j.spec.Apart || j.spec.SamePlace {
 			d.ZoneLeft = map[wire.Zone]int{}
 			held := map[wire.Zone]int{}
@@ -678,18 +679,64 @@
 }
 
 const (
-	// dearWait is the share of its time that a job waits for cheap room
-	// before it may rent at dearStretch times the limit.
-	dearWait    = 0.3
+	// dearStretch is how far beyond the limit a job may rent that would be
+	// late otherwise.
 	dearStretch = 1.25
 	// startBy is when every job should have begun, whatever else waits. Half
 	// of it may pass before the exception is made that sees to it.
 	startBy = 4 * time.Minute
 )
 
-// dearer tells how far a job may go beyond the limit on the price: cheap room
-// has not come for a while, and dear room would still bring it home in time.
-func (t *term) dearer(j *job, now time.Time) float64 {
+// queueing predicts how long each waiting array will wait for the room there
+// is: the work that goes before it, and half of its own, over the processors
+// that work on arrays now or soon. Room that is rented shortens the wait, so
+// that a steady overload rents as much dear room as it needs and a short rush
+// none.
+func (t *term) queueing(jobs []*job, now time.Time) map[*job]float64 {
+	room := 0.0
+	for _, m := range t.machines {
+		if !m.releasing && m.drain == "" {
+			room += t.total(m).CPUs
+		}
+	}
+	for _, b := range t.fleet.bookings {
+		if f := t.flavor(b.Kit); f != nil {
+			room += float64(b.Count) * f.CPUs
+		}
+	}
+	for _, j := range t.jobs {
+		if j.spec.Service() {
+			room -= float64(j.spec.Parts) * j.spec.CPUs
+		}
+	}
+	type entry struct {
+		j      *job
+		weight float64
+	}
+	sure := t.guaranteed()
+	var queue []entry
+	for _, j := range jobs {
+		if !j.spec.Service() {
+			w := t.weight(j, sure[j.spec.ID], now) * (1 + now.Sub(j.at).Seconds()/max(1, t.l.Tuning.Get().WaitRaiseS))
+			queue = append(queue, entry{j, w})
+		}
+	}
+	slices.SortFunc(queue, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.j.spec.ID, b.j.spec.ID))
+	})
+	out := make(map[*job]float64, len(queue))
+	ahead := 0.0
+	for _, e := range queue {
+		own := float64(e.j.pending()) * e.j.spec.CPUs * max(1, e.j.expected())
+		out[e.j] = (ahead + own/2) / max(1, room)
+		ahead += own
+	}
+	return out
+}
+
+// dearer tells how far a job may go beyond the limit on the price: it would
+// be late if it waited for cheap room, and dear room brings it home in time.
+func (t *term) dearer(j *job, wait float64, now time.Time) float64 {
 	if j.spec.Service() {
 		return 1
 	}
@@ -700,7 +747,7 @@
 		}
 	}
 	due, age := t.due(j, now), now.Sub(j.at).Seconds()
-	if age > dearWait*due && age+boot+j.expected() < due {
+	if age+wait+j.expected() > due && age+boot+j.expected() < due {
 		return dearStretch
 	}
 	return 1
