--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -56,6 +56,7 @@
 	orphans   []wire.Guard
 	toRelease []*machine // not yet asked for
 	releases  bool       // a request to release is under way
+	backlog   float64    // seconds in which the room there is would do what waits
 }
 
 func (f *fleetState) init() {
@@ -731,6 +732,7 @@
 		out[e.j] = (ahead + own/2) / max(1, room)
 		ahead += own
 	}
+	t.fleet.backlog = ahead / max(1, room)
 	return out
 }
 
--- a/internal/leader/view.go
+++ b/internal/leader/view.go
@@ -88,7 +88,7 @@
 		}
 	}
 	t.log().Info("standing", "token", t.token, "up", up, "booting", booting, "idle", idle, "jobs", len(t.jobs), "jobs_waiting", waiting,
-		"tasks_held", held, "tasks_waiting", tasks-held-done, "round", t.roundTook, "late", time.Since(now))
+		"tasks_held", held, "tasks_waiting", tasks-held-done, "backlog_s", int(t.fleet.backlog), "round", t.roundTook, "late", time.Since(now))
 }
 
 // viewMost bounds the view of a large cluster.
