--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -681,8 +681,10 @@
 
 const (
 	// dearStretch is how far beyond the limit a job may rent that would be
-	// late otherwise.
+	// late otherwise, if its class's aim is at least dearShare. A class that
+	// may miss its time more often waits for cheap room.
 	dearStretch = 1.25
+	dearShare   = 0.85
 	// startBy is when every job should have begun, whatever else waits. Half
 	// of it may pass before the exception is made that sees to it.
 	startBy = 4 * time.Minute
@@ -739,7 +741,13 @@
 // dearer tells how far a job may go beyond the limit on the price: it would
 // be late if it waited for cheap room, and dear room brings it home in time.
 func (t *term) dearer(j *job, wait float64, now time.Time) float64 {
-	if j.spec.Service() {
+	share := 0.0
+	for _, o := range t.set.Objectives {
+		if o.Class == j.spec.Lane && (o.Kind == "finished" || o.Kind == "deadline") {
+			share = max(share, o.Share)
+		}
+	}
+	if j.spec.Service() || share < dearShare {
 		return 1
 	}
 	boot := math.Inf(1)
