--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -683,7 +683,7 @@
 	// dearStretch is how far beyond the limit a job may rent that would be
 	// late otherwise, if its class's aim is at least dearShare. A class that
 	// may miss its time more often waits for cheap room.
-	dearStretch = 1.25
+	dearStretch = 1.35
 	dearShare   = 0.85
 	// startBy is when every job should have begun, whatever else waits. Half
 	// of it may pass before the exception is made that sees to it.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -26,7 +26,7 @@
 
 // Default values; docs/design.md says how they were found.
 func Default() Values {
-	return Values{Preferred: 1, Fallback: 0.5, WaitRaiseS: 60, RoundS: 1, SpareUnits: 2, KeepBoots: 0.6, StretchShare: 0.6, DearLimit: 2.5}
+	return Values{Preferred: 1, Fallback: 0.5, WaitRaiseS: 60, RoundS: 1, SpareUnits: 2, KeepBoots: 0.6, StretchShare: 0.6, DearLimit: 2.3}
 }
 
 // Field describes one setting.
