--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -162,7 +162,7 @@
 	// Reports come every report_s, give or take a quarter. A machine that is
 	// overdue is asked directly; two asks without an answer tell its end.
 	report := t.set.Workers.ReportS.Duration()
-	silentAfter := report*13/10 + time.Second
+	silentAfter := report*5/4 + 600*time.Millisecond
 	lostAfter := silentAfter + 2*probeTimeout
 	up, silent, lost, relayed, deaf := 0, 0, 0, 0, 0
 	zoneUp, zoneLost := map[wire.Zone]int{}, map[wire.Zone]int{}
@@ -200,10 +200,26 @@
 	// A zone most of whose machines are silent is cut off as a whole. They
 	// will be back, and what runs on them goes on until their leases end: they
 	// are kept, and returned only if the cut outlasts that by far.
-	cutZone := func(z wire.Zone) bool { return zoneLost[z] >= 4 && zoneLost[z]*2 > zoneUp[z] }
+	lease := t.set.Workers.LeaseS.Duration()
+	for z, n := range zoneLost {
+		if n >= 4 && n*2 > zoneUp[z] && !cutOff {
+			if now.Sub(t.cutAt[z]) > 3*report {
+				t.log().Info("zone seems cut off", "zone", z, "silent", n, "of", zoneUp[z])
+			}
+			t.cutAt[z] = now
+		}
+	}
 	for _, m := range t.machines {
-		away := cutOff || cutZone(m.zone) && t.silence(m, now) < t.set.Workers.LeaseS.Duration()*5/2
-		t.watchMachine(m, now, silentAfter, lostAfter, away)
+		// Where the cut is over the machines need a while to be heard again.
+		cut := !t.cutAt[m.zone].IsZero() && now.Sub(t.cutAt[m.zone]) < 3*report
+		quiet := t.silence(m, now)
+		if cut && !cutOff && quiet > lease*8/10 && t.serves(m) {
+			// Its replicas end with its lease, and nothing tells just when. The
+			// cloud can end them for sure, and they are started elsewhere.
+			t.release(m, "its lease ends while its zone is cut off")
+			continue
+		}
+		t.watchMachine(m, now, silentAfter, lostAfter, cutOff || cut && quiet < lease*5/2)
 		if deaf <= max(3, up/4) {
 			t.watchHearing(m, now)
 		}
@@ -220,6 +236,16 @@
 	}
 }
 
+// serves tells whether a machine holds replicas of services.
+func (t *term) serves(m *machine) bool {
+	for _, a := range m.tasks {
+		if a.job.spec.Service() {
+			return true
+		}
+	}
+	return false
+}
+
 // states counts the machines in each state, for the metrics.
 func (t *term) states() map[string]int {
 	n := map[string]int{"up": 0, "booting": 0, "draining": 0, "releasing": 0}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -505,7 +505,7 @@
 	// not answered may still be executed: launches are careful with it.
 	commandTimeout = 2500 * time.Millisecond
 	// probeTimeout is shorter, as two in a row tell a machine's end.
-	probeTimeout = 1500 * time.Millisecond
+	probeTimeout = 1200 * time.Millisecond
 )
 
 // post sends a command to a worker.
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -258,11 +258,14 @@
 }
 
 // spare is the room to keep for the next replicas: the largest replica that
-// services now have.
+// services now have, as often as operators say, and at least for half of the
+// largest service.
 func (t *term) spare(units float64) (int, placement.Res) {
 	var r placement.Res
+	largest := 0
 	for _, j := range t.jobs {
 		if j.spec.Service() && !j.spec.Standby {
+			largest = max(largest, j.spec.Parts)
 			o := placement.Of(&j.spec)
 			r = placement.Res{CPUs: max(r.CPUs, o.CPUs), Cards: 0, RAM: max(r.RAM, o.RAM)}
 		}
@@ -270,5 +273,5 @@
 	if r.CPUs == 0 {
 		return 0, r
 	}
-	return int(units), r
+	return max(int(units), (largest+1)/2), r
 }
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -58,6 +58,7 @@
 	machines  map[wire.MachineID]*machine
 	gone      map[wire.MachineID]time.Time // released, answered 200
 	probed    bool                         // every machine of the first list has been asked
+	cutAt     map[wire.Zone]time.Time      // when most of a zone was last silent
 	blindAt   time.Time
 	acked     time.Time // when a majority first held our token
 
@@ -83,7 +84,7 @@
 		hellos: make(chan hello, 32), inbox: make(chan func(), 32), over: make(chan struct{}),
 		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{},
 		machines: map[wire.MachineID]*machine{}, gone: map[wire.MachineID]time.Time{},
-		dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
+		cutAt: map[wire.Zone]time.Time{}, dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
 	}
 	t.until.Store(int64(o.until.Sub(o.at)))
 	t.fleet.init()
@@ -210,7 +211,7 @@
 	}
 	if !t.placing && t.recovered {
 		bound := t.set.Workers.ReportS.Duration()*5/4 + 1500*time.Millisecond
-		if t.listed && t.allHeard() || now.Sub(t.born) > bound {
+		if t.listed && t.enoughHeard() || now.Sub(t.born) > bound {
 			t.placing = true
 			t.log().Info("places", "machines", len(t.machines), "jobs", len(t.jobs), "after", now.Sub(t.born))
 			t.wantRound()
@@ -218,16 +219,23 @@
 	}
 }
 
-// allHeard tells whether every machine that should be up has reported with
-// our token. One that is in no list or did not answer a probe is not waited
-// for: its tasks count anyway until it is known to be gone.
-func (t *term) allHeard() bool {
+// enoughHeard tells whether the machines that should be up have reported with
+// our token: all of a small deployment, and three quarters of a large one,
+// where showing the token to the last takes seconds. One that is in no list or
+// did not answer a probe is not waited for. What was not heard takes nothing
+// new, and its tasks count until it is known to be gone.
+func (t *term) enoughHeard() bool {
+	heard, missing := 0, 0
 	for _, m := range t.machines {
-		if !m.booting && m.baton < t.first && m.addr != "" && m.probes == 0 {
-			return false
+		switch {
+		case m.booting:
+		case m.baton >= t.first:
+			heard++
+		case m.addr != "" && m.probes == 0:
+			missing++
 		}
 	}
-	return true
+	return missing == 0 || missing*3 <= heard && heard > 4*probesMost
 }
 
 // recover reads everything from the state service.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -447,6 +447,19 @@
 	return v.Rank < j.Spec.Urgency.Rank() || j.Guaranteed && v.Beyond && v.Team != j.Spec.Owner && j.Spec.Service()
 }
 
+// fetchWeight is how many seconds of repeated work a second of fetching may
+// cost that a service waits for: on a full deployment most replicas start in
+// room that was made for them, and the image decides whether they start in
+// time.
+const fetchWeight = 20
+
+func fetchCost(m *Machine, j *Job) float64 {
+	if m.Images[j.Spec.Bundle] == Present || m.PullRate <= 0 {
+		return 0
+	}
+	return fetchWeight * j.Spec.ImageGB / m.PullRate
+}
+
 // clearing is what room for one unit costs on a machine.
 type clearing struct {
 	ok    bool
@@ -461,7 +474,7 @@
 		return clearing{}
 	}
 	if take.Fits(m.Free) {
-		return clearing{ok: true}
+		return clearing{ok: true, lost: fetchCost(m, j)}
 	}
 	order := make([]int, 0, len(m.Victims))
 	for vi := range m.Victims {
@@ -482,7 +495,7 @@
 		}
 		return cmp.Or(cmp.Compare(va.Rank, vb.Rank), cmp.Compare(va.Lost, vb.Lost))
 	})
-	c := clearing{}
+	c := clearing{lost: fetchCost(m, j)}
 	free := m.Free
 	for _, vi := range order {
 		if take.Fits(free) {
