--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -235,14 +235,20 @@
 			pj.Pending = min(pj.Pending, max(1, 2-j.held)) // try a suspect job with little
 		}
 		if j.spec.Apart || j.spec.SamePlace {
-			known := true
+			unknown := 0
 			for _, a := range j.attempts() {
-				known = known && a.m.zone != ""
+				if a.m.zone == "" {
+					unknown++
+				}
 				pj.ZoneHeld[a.m.zone]++
 			}
-			if !known {
+			if unknown > 0 && j.spec.SamePlace {
 				continue // where its tasks are is not known yet
 			}
+			// Each of these may be in any zone, so it counts in all.
+			for _, z := range t.set.Zones {
+				pj.ZoneHeld[z] += unknown
+			}
 		}
 		s.Jobs = append(s.Jobs, pj)
 		kept = append(kept, j)
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -211,7 +211,7 @@
 	}
 	if !t.placing && t.recovered {
 		bound := t.set.Workers.ReportS.Duration()*5/4 + 1500*time.Millisecond
-		if t.listed && t.enoughHeard() || now.Sub(t.born) > bound {
+		if t.enoughHeard(now) || now.Sub(t.born) > bound {
 			t.placing = true
 			t.log().Info("places", "machines", len(t.machines), "jobs", len(t.jobs), "after", now.Sub(t.born))
 			t.wantRound()
@@ -220,22 +220,27 @@
 }
 
 // enoughHeard tells whether the machines that should be up have reported with
-// our token: all of a small deployment, and three quarters of a large one,
-// where showing the token to the last takes seconds. One that is in no list or
-// did not answer a probe is not waited for. What was not heard takes nothing
-// new, and its tasks count until it is known to be gone.
-func (t *term) enoughHeard() bool {
+// our token: all of a small deployment, and two thirds of a large one, where
+// showing the token to the last takes seconds. One that is in no list or did
+// not answer a probe is not waited for. What was not heard takes nothing new,
+// and its tasks count until it is known to be gone. Without a list (the
+// cloud's interface may be down for minutes) it is the machines of which
+// something is stored that are waited for.
+func (t *term) enoughHeard(now time.Time) bool {
+	if !t.listed && now.Sub(t.born) < time.Second {
+		return false
+	}
 	heard, missing := 0, 0
 	for _, m := range t.machines {
 		switch {
 		case m.booting:
 		case m.baton >= t.first:
 			heard++
-		case m.addr != "" && m.probes == 0:
+		case m.probes == 0 && (m.addr != "" || !t.listed):
 			missing++
 		}
 	}
-	return missing == 0 || missing*3 <= heard && heard > 4*probesMost
+	return missing == 0 || missing*2 <= heard && heard > 4*probesMost
 }
 
 // recover reads everything from the state service.
--- a/internal/leader/write_test.go
+++ b/internal/leader/write_test.go
@@ -137,7 +137,7 @@
 		tm.l.Cloud = cloud.New("10.2.0.2:8443", config.Cloud{RPS: 6}, standin.NewNetwork(0).Host("10.0.0.1"))
 		tm.listed = true
 		m.baton, m.addr, m.upAt = 0, "", time.Time{}
-		if !tm.enoughHeard() {
+		if !tm.enoughHeard(time.Now()) {
 			t.Error("the first round waits for a machine that nothing is known of")
 		}
 		time.Sleep(5 * time.Second)
