--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -187,8 +187,11 @@
 			if a.job.spec.Service() {
 				pm.Services++
 			}
-			if a.ready.IsZero() {
+			if a.ready.IsZero() && pm.Images[a.job.spec.Bundle] == placement.Absent {
 				pm.Images[a.job.spec.Bundle] = placement.Fetching
+				if _, has := m.images.has[a.job.spec.Bundle]; !has {
+					pm.PullGB += a.job.spec.ImageGB
+				}
 			}
 			if !preempts || a.planned || a.job.spec.Service() && a.job.spec.Urgency == wire.Prod {
 				continue
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -84,7 +84,8 @@
 	Total    Res
 	Free     Res // with everything that may still be there taken off
 	PullRate float64
-	Services int // tasks of services there
+	PullGB   float64 // of the images that are being fetched
+	Services int     // tasks of services there
 	Images   map[wire.ImageID]Image
 	Victims  []Victim
 	Cordoned bool // takes tasks of arrays only when no other machine can
@@ -260,6 +261,7 @@
 				m.Images = map[wire.ImageID]Image{}
 			}
 			m.Images[j.Spec.Bundle] = Fetching
+			m.PullGB += j.Spec.ImageGB
 		}
 		res.Starts = append(res.Starts, Start{ji, mi})
 		changed[mi] = step
@@ -330,9 +332,7 @@
 	score := 0.0
 	switch m.Images[j.Spec.Bundle] {
 	case Absent:
-		if m.PullRate > 0 {
-			score -= min(8, j.Spec.ImageGB/m.PullRate) * 0.25
-		}
+		score -= min(16, fetchS(m, j)) * 0.25
 	case Fetching:
 		score -= 0.1
 	}
@@ -454,10 +454,20 @@
 const fetchWeight = 20
 
 func fetchCost(m *Machine, j *Job) float64 {
-	if m.Images[j.Spec.Bundle] == Present || m.PullRate <= 0 {
+	if m.Images[j.Spec.Bundle] == Present {
+		return 0
+	}
+	return fetchWeight * fetchS(m, j)
+}
+
+// fetchS is how long a machine takes to fetch the job's image beside those
+// that it fetches already: they share its rate. (Replicas of four services,
+// started on one machine after a zone's loss, waited 16 s for their images.)
+func fetchS(m *Machine, j *Job) float64 {
+	if m.PullRate <= 0 {
 		return 0
 	}
-	return fetchWeight * j.Spec.ImageGB / m.PullRate
+	return (m.PullGB + j.Spec.ImageGB) / m.PullRate
 }
 
 // clearing is what room for one unit costs on a machine.
