--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -214,10 +213,9 @@
 		// Where the cut is over the machines need a while to be heard again.
 		cut := !t.cutAt[m.zone].IsZero() && now.Sub(t.cutAt[m.zone]) < 3*report
 		quiet := t.silence(m, now)
-		if cut && !cutOff && quiet > cutPatience(m.id, lease) && t.serves(m) {
+		if cut && !cutOff && quiet > lease*8/10 && t.serves(m) {
 			// Its replicas end with its lease, and nothing tells just when. The
-			// cloud can end them for sure, and they are started elsewhere: a few
-			// at a time, so that most run at any moment.
+			// cloud can end them for sure, and they are started elsewhere.
 			t.release(m, "its lease ends while its zone is cut off")
 			continue
 		}
@@ -238,14 +236,6 @@
 	}
 }
 
-// cutPatience is how long a machine with replicas may be silent in a zone that
-// is cut off: between two and four fifths of a lease, spread by its name.
-func cutPatience(id wire.MachineID, lease time.Duration) time.Duration {
-	h := fnv.New32a()
-	h.Write([]byte(id)) //nolint:errcheck // it never fails
-	return lease * time.Duration(400+h.Sum32()%400) / 1000
-}
-
 // serves tells whether a machine holds replicas of services.
 func (t *term) serves(m *machine) bool {
 	for _, a := range m.tasks {
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -30,9 +29,7 @@
 	}
 	for _, v := range res.Halts {
 		if a := t.attempt(v.Task); a != nil {
-			// At once: what waits for the room should run now, and a task that
-			// saves would keep it for as long as saving takes.
-			t.halt(a, 0, "makes room")
+			t.halt(a, windDownOf(a.job), "makes room")
 		}
 	}
 	t.roundTook = time.Since(now)
@@ -203,7 +200,7 @@
 			if !a.runAt.IsZero() {
 				lost = now.Sub(a.runAt).Seconds()
 				if every := float64(a.job.spec.SnapshotEveryS); every > 0 {
-					lost = math.Mod(lost, every) // since its last checkpoint
+					lost = min(lost, float64(a.job.spec.SnapshotS))
 				}
 			}
 			pm.Victims = append(pm.Victims, placement.Victim{Task: a.task(), Rank: a.job.spec.Urgency.Rank(), Takes: a.res(),
