--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -867,6 +867,9 @@
 		o.wait = min(max(5*time.Second, o.wait*2), 40*time.Second)
 		o.until = now.Add(o.wait + rand.N(o.wait/4))
 		t.log().Info("no capacity", "kit", b.Kit, "zone", b.Site, "spot", b.Standby, "again_in", o.wait, "err", err)
+	case now.Before(t.fleet.cloudDown):
+		// Asked beside one that was refused before: the same trouble. (The
+		// bookings of one plan once made each other wait for ten seconds.)
 	default:
 		// Busy or down: certainly not rented; the want is judged anew later.
 		t.fleet.downWait = min(max(500*time.Millisecond, t.fleet.downWait*2), 5*time.Second)
