--- /dev/null
+++ b/internal/leader/hearing_test.go
@@ -0,0 +1,227 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lilaclead/internal/cloud"
+	"lilaclead/internal/config"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// away gives a term a cloud and workers that can't be reached.
+func away(tm *term) {
+	nw := standin.NewNetwork(0).Host("10.0.0.1")
+	tm.l.Cloud = cloud.New("10.2.0.2:8443", config.Cloud{RPS: 6}, nw)
+	tm.l.direct = &http.Client{Transport: nw.Transport(2, 2)}
+}
+
+func (t *term) tell(rep *wire.Report) reply {
+	h := hello{rep: *rep, reply: make(chan reply, 1)}
+	t.onHello(h)
+	return <-h.reply
+}
+
+// A machine whose reports come in and that hears nothing is told by what it
+// does not do; one that does something again is trusted again; and one that
+// stays deaf with work on it that can't be accounted for is returned.
+func TestDeafIsToldByWhatItDoesNotDo(t *testing.T) {
+	launch := func(tm *term, m *machine) {
+		j := tm.jobs["req-1"]
+		a := &attempt{job: j, chunk: j.chunk(0), index: 0, try: 8, m: m, at: time.Now()}
+		a.chunk.hold(a)
+	}
+	shown := wire.PartState{Part: "req-1/0", Try: 8, Phase: wire.Pulling}
+	cases := map[string]struct {
+		setup   func(tm *term, m *machine)
+		reports func(token wire.Token) []*wire.Report
+		deaf    bool
+	}{
+		"shows no launch twice": {launch, func(k wire.Token) []*wire.Report {
+			return []*wire.Report{said(1, 11, k), said(1, 12, k), said(1, 13, k)}
+		}, true},
+		"shows it in the end": {launch, func(k wire.Token) []*wire.Report {
+			return []*wire.Report{said(1, 11, k), said(1, 12, k), said(1, 13, k, shown)}
+		}, false},
+		"takes no token": {func(_ *term, m *machine) { m.baton = 0 },
+			func(k wire.Token) []*wire.Report {
+				return []*wire.Report{said(1, 11, 0), said(1, 12, 0), said(1, 13, 0)}
+			}, true},
+		"its lease runs out though it is answered": {func(*term, *machine) {},
+			func(k wire.Token) []*wire.Report { return []*wire.Report{said(1, 11, k), said(2, 1, k)} }, true},
+		"has nothing to show": {func(*term, *machine) {},
+			func(k wire.Token) []*wire.Report {
+				return []*wire.Report{said(1, 11, k), said(1, 12, k), said(1, 13, k)}
+			}, false},
+	}
+	for name, c := range cases {
+		desk(t, func(tm *term, m *machine, _ *standin.State, _ func()) {
+			away(tm)
+			c.setup(tm, m)
+			for _, rep := range c.reports(tm.token) {
+				tm.tell(rep)
+				time.Sleep(time.Second)
+			}
+			if deaf := !m.hearing.deaf.IsZero(); deaf != c.deaf || deaf && tm.usable(m, time.Now()) {
+				t.Errorf("%s: deaf %v, usable %v", name, deaf, tm.usable(m, time.Now()))
+			}
+			for n := wire.Tally(20); n < 30; n++ {
+				time.Sleep(2 * time.Second)
+				m.seenAt = time.Now() // it goes on reporting
+				tm.watchMachines(time.Now())
+			}
+			if m.releasing != c.deaf {
+				t.Errorf("%s: returned %v", name, m.releasing)
+			}
+		})
+	}
+}
+
+// A report that is older than the last one known is a late copy, unless it
+// crossed a newer message just now: it renews nothing and proves nothing.
+func TestOlderReports(t *testing.T) {
+	desk(t, func(tm *term, m *machine, _ *standin.State, _ func()) {
+		away(tm)
+		tm.tell(said(1, 20, tm.token))
+		if r := tm.tell(said(1, 19, tm.token)); r.orders == nil || len(r.orders.Orders) > 0 {
+			t.Errorf("a report that crossed a newer one: %+v", r)
+		}
+		time.Sleep(10 * time.Second)
+		before := *m
+		for _, rep := range []*wire.Report{said(1, 20, tm.token), said(1, 3, tm.token), said(0, 99, 0)} {
+			if r := tm.tell(rep); r.refused == "" {
+				t.Errorf("copy %d/%d answered %+v", rep.Shift, rep.Tally, r)
+			}
+		}
+		if m.seenAt != before.seenAt || m.answered != before.answered || m.tally != before.tally {
+			t.Error("late copies make a silent machine seem alive")
+		}
+		tm.gone["n-9"] = time.Now()
+		gone := said(9, 9, tm.token)
+		gone.Host = "n-9"
+		if r := tm.tell(gone); r.refused == "" || tm.machines["n-9"] != nil {
+			t.Errorf("a copy of a returned machine's report: %+v", r)
+		}
+		// While a term is still reading its books, the newest report counts.
+		tm.recovered, tm.early = false, map[wire.MachineID]wire.Report{}
+		tm.tell(said(2, 5, tm.token))
+		tm.tell(said(1, 40, tm.token))
+		if got := tm.early["n-1"]; got.Shift != 2 {
+			t.Errorf("kept report %d/%d", got.Shift, got.Tally)
+		}
+	})
+}
+
+// A zone most of whose machines are silent is cut off as a whole: they are
+// kept, but for those with replicas, which are returned shortly before their
+// leases would end. A machine that is silent alone is returned at once.
+func TestCutZoneIsKept(t *testing.T) {
+	desk(t, func(tm *term, m *machine, _ *standin.State, _ func()) {
+		away(tm)
+		m.zone = "b"
+		zone := map[wire.Zone][]*machine{}
+		for i := range 26 {
+			x := tm.machine(wire.MachineID(fmt.Sprint("n-", 100+i)))
+			x.baton, x.upAt, x.seenAt, x.zone = tm.token, time.Now(), time.Now(), "b"
+			if i < 10 {
+				x.zone = "a"
+			}
+			zone[x.zone] = append(zone[x.zone], x)
+		}
+		serving := zone["a"][0]
+		j := newJob(store.JobRecord{Spec: wire.Spec{ID: "req-2", Owner: "red", Shape: wire.Daemon, Parts: 1, CPUs: 1}, At: wire.StampOf(time.Now())}, 1)
+		tm.jobs["req-2"] = j
+		j.chunk(0).hold(&attempt{job: j, chunk: j.chunk(0), index: 0, try: 1, m: serving, seen: true})
+		returned := func() (n int) {
+			for _, x := range zone["a"] {
+				if x.releasing {
+					n++
+				}
+			}
+			return
+		}
+		watch := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); {
+				time.Sleep(500 * time.Millisecond)
+				for _, x := range tm.machines {
+					if x.zone == "b" && x != zone["b"][0] {
+						x.seenAt = time.Now()
+					} else {
+						x.probes, x.lostToPeer = 2, true
+					}
+				}
+				tm.watchMachines(time.Now())
+			}
+		}
+		watch(10 * time.Second)
+		if !zone["b"][0].releasing || returned() != 0 {
+			t.Errorf("after 10 s the silent machine beside live ones is returned: %v; of the cut zone %d are", zone["b"][0].releasing, returned())
+		}
+		watch(4 * time.Second) // 14 s of a lease of 16 s
+		if !serving.releasing || returned() != 1 {
+			t.Errorf("near the lease's end the machine with a replica is returned: %v; %d in all", serving.releasing, returned())
+		}
+		watch(40 * time.Second)
+		if returned() != 10 {
+			t.Errorf("%d of 10 are returned when the cut has outlasted their leases by far", returned())
+		}
+	})
+}
+
+// A node knows who leads only as long as it hears of it: what it knew before
+// it was cut off must not send workers to a node that leads no more.
+func TestWhoLeadsIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		tm, _, _ := rig(t)
+		nw := standin.NewNetwork(time.Millisecond)
+		mesh := func(name wire.NodeID, i, other int, to wire.NodeID, leads bool) *peer.Mesh {
+			m := peer.New(name, []config.Other{{HostName: to, Addr: standin.NodeIP(other) + ":8081"}},
+				func() peer.Self { return peer.Self{Leads: leads} }, nw.Host(standin.NodeIP(i)), tm.l.Log)
+			l, err := nw.Host(standin.NodeIP(i)).Listen("tcp4", standin.NodeIP(i)+":8081")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var protocols http.Protocols
+			protocols.SetUnencryptedHTTP2(true)
+			srv := &http.Server{Handler: m, Protocols: &protocols}
+			go srv.Serve(l) //nolint:errcheck // ends with Close
+			go m.Run(ctx)
+			t.Cleanup(func() { srv.Close() })
+			return m
+		}
+		l := tm.l
+		l.Config.HostName = "a"
+		l.Mesh = mesh("a", 0, 1, "b", false)
+		b := mesh("b", 1, 0, "a", true)
+		b.Raise(ctx, 7)
+		time.Sleep(3 * time.Second)
+		if got := l.leads(time.Now()); got != "b" {
+			t.Errorf("hears %q lead", got)
+		}
+		nw.Cut(standin.NodeIP(0), standin.NodeIP(1), true)
+		time.Sleep(6 * time.Second)
+		if got := l.leads(time.Now()); got != "" {
+			t.Errorf("cut off it still says that %q leads", got)
+		}
+		l.holder.Store(&holder{"c", time.Now()})
+		if got := l.leads(time.Now()); got != "c" {
+			t.Errorf("by the state service's word: %q", got)
+		}
+		time.Sleep(3 * time.Second)
+		if got := l.leads(time.Now()); got != "" {
+			t.Errorf("that word is old, and yet %q", got)
+		}
+		cancel()
+		nw.Close()
+		time.Sleep(5 * time.Second)
+		nw.Close()
+	})
+}
--- a/internal/leader/safety_test.go
+++ b/internal/leader/safety_test.go
@@ -81,6 +81,8 @@
 			func(_ *term, m *machine) time.Time { return m.answered }},
 		{"only probed: an earlier leader may have answered until it saw our token", func(tm *term, m *machine) { m.tokenAt = tm.born.Add(time.Second) },
 			func(_ *term, m *machine) time.Time { return m.tokenAt }},
+		{"in a new session, which may have begun just before we heard of it", func(tm *term, m *machine) { m.answered, m.shiftAt = tm.born, tm.born.Add(15*time.Second) },
+			func(_ *term, m *machine) time.Time { return m.shiftAt }},
 		{"never heard, a majority holds our token", func(tm *term, m *machine) { m.baton, tm.acked = 0, tm.born.Add(time.Second) },
 			func(tm *term, _ *machine) time.Time { return tm.acked.Add(peer.X) }},
 		{"never heard, no majority", func(tm *term, m *machine) { m.baton = 0 },
