--- a/internal/leader/hearing_test.go
+++ b/internal/leader/hearing_test.go
@@ -129,7 +129,7 @@
 		zone := map[wire.Zone][]*machine{}
 		for i := range 26 {
 			x := tm.machine(wire.MachineID(fmt.Sprint("n-", 100+i)))
-			x.baton, x.upAt, x.seenAt, x.zone = tm.token, time.Now(), time.Now(), "b"
+			x.baton, x.upAt, x.seenAt, x.answered, x.zone = tm.token, time.Now(), time.Now(), time.Now(), "b"
 			if i < 10 {
 				x.zone = "a"
 			}
