--- /dev/null
+++ b/internal/store/copy_test.go
@@ -0,0 +1,91 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// The copy against the plain model, a map: whatever was written before a
+// question is in its answer; questions that come together share a look; and
+// with the service away they are refused soon.
+func TestCopyIsNeverStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		nw := standin.NewNetwork(time.Millisecond)
+		st := standin.NewState(12, 16)
+		l, err := nw.Host("10.2.0.1").Listen("tcp4", standin.StateAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv := &http.Server{Handler: st}
+		go srv.Serve(l) //nolint:errcheck // ends with Close
+		c := store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
+		var calls sync.Map
+		c.Observe = func(string, string, time.Duration) {
+			calls.Store(time.Now().UnixNano()+int64(rand.Uint32()%1000), true)
+		}
+		y := store.NewCopy(c, 40, 1) // a look every tenth of a second at most
+		go y.Run(ctx)
+
+		model := map[wire.JobID]wire.Status{}
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 400 {
+			id := wire.JobID("req-" + strconv.Itoa(rng.IntN(12)))
+			switch _, live := model[id]; {
+			case !live:
+				model[id] = wire.Queued
+				st.Put(store.JobKey(id), store.JobRecord{Spec: wire.Spec{ID: id}, Status: wire.Queued})
+			case rng.IntN(2) == 0:
+				model[id] = wire.Cancelled
+				st.Put(store.JobKey(id), store.JobRecord{Spec: wire.Spec{ID: id}, Status: wire.Cancelled})
+			default:
+				delete(model, id)
+				if _, err := c.Commit(ctx, store.Vital, wire.Txn{Writes: []wire.Write{{Drop: store.JobKey(id)}}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			ask := wire.JobID("req-" + strconv.Itoa(rng.IntN(12)))
+			got, err := y.Get(ctx, ask)
+			want, live := model[ask]
+			if live && (err != nil || got.Status != want) || !live && !errors.Is(err, store.ErrMissing) {
+				t.Fatalf("%s: %v %v, want %v %v", ask, got, err, want, live)
+			}
+		}
+
+		count := func() (n int) {
+			calls.Range(func(any, any) bool { n++; return true })
+			return
+		}
+		before := count()
+		var wg sync.WaitGroup
+		for range 30 {
+			wg.Go(func() { y.Get(ctx, "req-1") }) //nolint:errcheck // only counted
+		}
+		wg.Wait()
+		if n := count() - before; n > 2 {
+			t.Errorf("30 questions at a time cost %d requests", n)
+		}
+		nw.Cut("10.0.0.1", "10.2.0.1", true)
+		begin := time.Now()
+		if _, err := y.Get(ctx, "req-1"); err == nil || errors.Is(err, store.ErrMissing) || time.Since(begin) > 1500*time.Millisecond {
+			t.Errorf("with the service away: %v after %v", err, time.Since(begin))
+		}
+		cancel()
+		nw.Close()
+		srv.Close()
+		time.Sleep(5 * time.Second)
+		nw.Close()
+	})
+}
