--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -202,7 +202,7 @@
 	// are kept, and returned only if the cut outlasts that by far.
 	lease := t.set.Workers.LeaseS.Duration()
 	for z, n := range zoneLost {
-		if n >= 4 && n*2 > zoneUp[z] && !cutOff {
+		if z != "" && n >= 4 && n*2 > zoneUp[z] && !cutOff {
 			if now.Sub(t.cutAt[z]) > 3*report {
 				t.log().Info("zone seems cut off", "zone", z, "silent", n, "of", zoneUp[z])
 			}
@@ -219,7 +219,10 @@
 			t.release(m, "its lease ends while its zone is cut off")
 			continue
 		}
-		t.watchMachine(m, now, silentAfter, lostAfter, cutOff || cut && quiet < lease*5/2)
+		// Before the first list nothing is known of a machine that an earlier
+		// leader used and that has not reported, not even its zone.
+		unknown := m.zone == "" && !t.listed
+		t.watchMachine(m, now, silentAfter, lostAfter, cutOff || unknown || cut && quiet < lease*5/2)
 		if deaf <= max(3, up/4) {
 			t.watchHearing(m, now)
 		}
