--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -710,10 +710,10 @@
 
 const (
 	// dearStretch is how far beyond the limit a job may rent that would be
-	// late otherwise, if its class's aim is at least dearShare. A class that
-	// may miss its time more often waits for cheap room.
+	// late otherwise, if its class's aim is above dearShare. A class that may
+	// miss its time more often waits for cheap room.
 	dearStretch = 1.35
-	dearShare   = 0.85
+	dearShare   = 0.9
 	// startBy is when every job should have begun, whatever else waits. Half
 	// of it may pass before the exception is made that sees to it.
 	startBy = 4 * time.Minute
@@ -776,7 +776,7 @@
 			share = max(share, o.Share)
 		}
 	}
-	if j.spec.Service() || share < dearShare {
+	if j.spec.Service() || share <= dearShare {
 		return 1
 	}
 	boot := math.Inf(1)
