--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -14,6 +14,9 @@
 	// bookEvery paces writes that only keep books, to spare the write budget
 	// for submissions, launches and final states.
 	bookEvery = 300 * time.Millisecond
+	// bookBy is how long books may wait for launches: what is not stored is not
+	// forgotten by the workers either, and their reports grow.
+	bookBy = 6 * time.Second
 	// maxTxnBytes keeps a transaction below the service's 64 KiB, with room
 	// for guards.
 	maxTxnBytes = 48 << 10
@@ -94,6 +97,10 @@
 		slices.SortFunc(book, func(a, b *chunk) int { return a.since.Compare(b.since) })
 		_, left := t.l.Store.Left()
 		n := min(len(book), max(0, int(left)-len(b.txn.Writes)))
+		for n < len(book) && now.Sub(book[n].since) > bookBy {
+			n++
+			urgent = true
+		}
 		for _, c := range book[:n] {
 			rec := c.record()
 			if !full(1, rec.JSONSize()) {
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -14,23 +14,28 @@
 	"lilaclead/internal/wire"
 )
 
+// serve lets the state service listen.
+func serve(t *testing.T, nw *standin.Network, st *standin.State) *http.Server {
+	l, err := nw.Host("10.2.0.1").Listen("tcp4", standin.StateAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: st}
+	go srv.Serve(l) //nolint:errcheck // ends with Close
+	return srv
+}
+
 // What a caller learns of a call: refused for sure, unknown, or in conflict;
 // and a user isn't kept waiting for a service that answers nothing.
 func TestOutcomes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
-		nw := standin.NewNetwork(time.Millisecond)
-		st := standin.NewState(12, 16)
+		nw, st := standin.NewNetwork(time.Millisecond), standin.NewState(12, 16)
 		c := store.New(standin.StateAddr, config.State{RPS: 100, WriteRPS: 10, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
 		if _, err := c.Get(ctx, store.Duty, "k"); !errors.Is(err, store.ErrRefused) {
 			t.Errorf("no listener: %v", err)
 		}
-		l, err := nw.Host("10.2.0.1").Listen("tcp4", standin.StateAddr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		srv := &http.Server{Handler: st}
-		go srv.Serve(l) //nolint:errcheck // ends with Close
+		srv := serve(t, nw, st)
 		put := wire.Txn{Guards: []wire.Guard{{Key: "k"}}, Writes: []wire.Write{{Put: "k", Value: wire.Encode(1)}}}
 		if _, err := c.Commit(ctx, store.Duty, put); err != nil {
 			t.Errorf("first put: %v", err)
--- a/internal/store/copy_test.go
+++ b/internal/store/copy_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"strconv"
 	"sync"
 	"testing"
@@ -23,14 +22,8 @@
 func TestCopyIsNeverStale(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		nw := standin.NewNetwork(time.Millisecond)
-		st := standin.NewState(12, 16)
-		l, err := nw.Host("10.2.0.1").Listen("tcp4", standin.StateAddr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		srv := &http.Server{Handler: st}
-		go srv.Serve(l) //nolint:errcheck // ends with Close
+		nw, st := standin.NewNetwork(time.Millisecond), standin.NewState(12, 16)
+		srv := serve(t, nw, st)
 		c := store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
 		var calls sync.Map
 		c.Observe = func(string, string, time.Duration) {
--- a/troubles_test.go
+++ b/troubles_test.go
@@ -18,6 +18,16 @@
 	return s
 }
 
+// mustRun checks that all replicas of a service run.
+func mustRun(t *testing.T, w *standin.World, s standin.Truth, when string) {
+	t.Helper()
+	w.Checked(func(c *standin.Checker) {
+		if n := c.On(s.Spec.ID); n != s.Spec.Parts {
+			t.Errorf("%d of %d replicas %s", n, s.Spec.Parts, when)
+		}
+	})
+}
+
 // A machine's reports arrive, but answers and commands don't reach it. It
 // looks alive, so only what it does not do tells. Its replicas must be back
 // elsewhere soon after its lease has ended them, what is cancelled there must
@@ -46,20 +56,12 @@
 				at(52 * time.Second)
 				w.Submit(a, 0)
 				at(90 * time.Second)
-				w.Checked(func(c *standin.Checker) {
-					if n := c.On(s.Spec.ID); n != 4 {
-						t.Errorf("%d of 4 replicas while a machine does not hear", n)
-					}
-				})
+				mustRun(t, w, s, "while a machine does not hear")
 				mustFinish(t, w, a)
 				at(130 * time.Second)
 				w.Net.Deafen(w.IP(on[0]), false)
 				at(200 * time.Second)
-				w.Checked(func(c *standin.Checker) {
-					if n := c.On(s.Spec.ID); n != 4 {
-						t.Errorf("%d of 4 replicas afterwards", n)
-					}
-				})
+				mustRun(t, w, s, "afterwards")
 			})
 		})
 	}
@@ -93,11 +95,7 @@
 			t.Fatal("nothing to take")
 		}
 		at(80 * time.Second)
-		w.Checked(func(c *standin.Checker) {
-			if n := c.On(s.Spec.ID); n != 4 {
-				t.Errorf("%d of 4 replicas 30 s after a machine's end", n)
-			}
-		})
+		mustRun(t, w, s, "30 s after a machine's end")
 		copies()
 		l := w.Leader()
 		w.Kill(l)
@@ -105,11 +103,7 @@
 		time.Sleep(300 * time.Millisecond)
 		w.Up(l)
 		at(115 * time.Second)
-		w.Checked(func(c *standin.Checker) {
-			if n := c.On(s.Spec.ID); n != 4 {
-				t.Errorf("%d of 4 replicas 35 s after the leader's and a machine's end", n)
-			}
-		})
+		mustRun(t, w, s, "35 s after the leader's and a machine's end")
 		at(200 * time.Second)
 		mustFinish(t, w, a)
 	})
@@ -137,11 +131,7 @@
 			}
 		}
 		at(75 * time.Second)
-		w.Checked(func(c *standin.Checker) {
-			if n := c.On(s.Spec.ID); n != 4 {
-				t.Errorf("%d of 4 replicas after 30 s", n)
-			}
-		})
+		mustRun(t, w, s, "after 30 s")
 		at(200 * time.Second)
 		mustFinish(t, w, a)
 	})
