--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -260,9 +260,6 @@
 	return s, ms, kept
 }
 
-// spareShare of all replicas is kept free.
-const spareShare = 0.15
-
 // usable tells whether a machine may take a launch now.
 func (t *term) usable(m *machine, now time.Time) bool {
 	return !m.booting && !m.upAt.IsZero() && m.drain == "" && !m.releasing && m.baton >= t.first && m.probes == 0 && m.hearing.deaf.IsZero() &&
@@ -274,11 +271,10 @@
 // largest service.
 func (t *term) spare(units float64) (int, placement.Res) {
 	var r placement.Res
-	largest, replicas := 0, 0
+	largest := 0
 	for _, j := range t.jobs {
 		if j.spec.Service() && !j.spec.Standby {
 			largest = max(largest, j.spec.Parts)
-			replicas += j.spec.Parts
 			o := placement.Of(&j.spec)
 			r = placement.Res{CPUs: max(r.CPUs, o.CPUs), Cards: 0, RAM: max(r.RAM, o.RAM)}
 		}
@@ -286,5 +282,5 @@
 	if r.CPUs == 0 {
 		return 0, r
 	}
-	return max(int(units), (largest+1)/2, int(spareShare*float64(replicas))), r
+	return max(int(units), (largest+1)/2), r
 }
