--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -220,7 +220,7 @@
 }
 
 // enoughHeard tells whether the machines that should be up have reported with
-// our token: all of a small deployment, and two thirds of a large one, where
+// our token: all of a small deployment, and half of a large one, where
 // showing the token to the last takes seconds. One that is in no list or did
 // not answer a probe is not waited for. What was not heard takes nothing new,
 // and its tasks count until it is known to be gone. Without a list (the
@@ -240,7 +240,7 @@
 			missing++
 		}
 	}
-	return missing == 0 || missing*2 <= heard && heard > 4*probesMost
+	return missing == 0 || missing <= heard && heard > 4*probesMost
 }
 
 // recover reads everything from the state service.
