Revert: services weigh the fetch fully

Tried: a second of fetching counts four times as much for a service's replica, so that it goes where its image comes fastest.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -332,11 +332,7 @@
 	score := 0.0
 	switch m.Images[j.Spec.Bundle] {
 	case Absent:
-		per := 0.25
-		if j.Spec.Service() {
-			per = 1 // its start is what its users see
-		}
-		score -= min(16, fetchS(m, j)) * per
+		score -= min(16, fetchS(m, j)) * 0.25
 	case Fetching:
 		score -= 0.1
 	}
