--- a/internal/leader/hearing_test.go
+++ b/internal/leader/hearing_test.go
@@ -94,6 +94,7 @@
 			t.Errorf("a report that crossed a newer one: %+v", r)
 		}
 		time.Sleep(10 * time.Second)
+		m.addr = "10.1.0.1:9000"
 		before := *m
 		for _, rep := range []*wire.Report{said(1, 20, tm.token), said(1, 3, tm.token), said(0, 99, 0)} {
 			if r := tm.tell(rep); r.refused == "" {
@@ -103,6 +104,10 @@
 		if m.seenAt != before.seenAt || m.answered != before.answered || m.tally != before.tally {
 			t.Error("late copies make a silent machine seem alive")
 		}
+		// Two copies at a time cost one question to the machine itself.
+		if !m.busy || m.verified != time.Now() {
+			t.Error("the machine was not asked which it is")
+		}
 		tm.gone["n-9"] = time.Now()
 		gone := said(9, 9, tm.token)
 		gone.Host = "n-9"
