One check of a peer's freshness; no needless guard, flag or list: a clean-up

Three places compared when a node was last heard with X; Other.Near now tells. The count of a job's tasks by zone needs no guard, a question to a worker no empty list (post sets it), the stand-in's network no flag that only returns early. The tuning is read once for all waiting jobs.

--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -191,7 +191,7 @@
 	cutOff := silent >= 3 && silent*2 > up
 	if (cutOff && lost*2 > up || relayed >= 3 && relayed*2 > up) && t.deciding() && now.Sub(t.born) > lostAfter+t.set.Workers.LeaseS.Duration()/8 {
 		for name, o := range t.l.Mesh.View().Others {
-			if now.Sub(o.Heard) < peer.X && o.Serves && o.Hears*2 > up {
+			if o.Near(now) && o.Serves && o.Hears*2 > up {
 				t.resign("workers reach " + string(name) + ", not this node")
 				return
 			}
@@ -745,11 +745,11 @@
 		j      *job
 		weight float64
 	}
-	sure := t.guaranteed()
+	sure, raise := t.guaranteed(), max(1, t.l.Tuning.Get().WaitRaiseS)
 	var queue []entry
 	for _, j := range jobs {
 		if !j.spec.Service() {
-			w := t.weight(j, sure[j.spec.ID], now) * (1 + now.Sub(j.at).Seconds()/max(1, t.l.Tuning.Get().WaitRaiseS))
+			w := t.weight(j, sure[j.spec.ID], now) * (1 + now.Sub(j.at).Seconds()/raise)
 			queue = append(queue, entry{j, w})
 		}
 	}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -11,7 +11,6 @@
 	"github.com/julienschmidt/httprouter"
 
 	"lilaclead/internal/netio"
-	"lilaclead/internal/peer"
 	"lilaclead/internal/placement"
 	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
@@ -533,7 +532,7 @@
 	}
 	shift := max(m.shift, 1)
 	m.busy = true
-	addr, cmd, asked := m.addr, wire.Orders{Baton: t.token, Shift: shift, Orders: []wire.Order{}}, position{m.shift, m.tally}
+	addr, cmd, asked := m.addr, wire.Orders{Baton: t.token, Shift: shift}, position{m.shift, m.tally}
 	ask := func() (*wire.Report, int, error) { return t.l.post(t.ctx, addr, cmd, probeTimeout) }
 	// What doesn't answer this node is asked once more through another one: it
 	// may be only the way from here that is cut.
@@ -557,8 +556,8 @@
 	}()
 }
 
-// relayed is a command that another node passes on to a worker.
-type relayed struct {
+// question is one that another node passes on to a worker.
+type question struct {
 	Addr   string      `cbor:"addr"`
 	Orders wire.Orders `cbor:"orders"`
 }
@@ -567,7 +566,7 @@
 func (l *Leader) helper(now time.Time) wire.NodeID {
 	var near []wire.NodeID
 	for id, o := range l.Mesh.View().Others {
-		if now.Sub(o.Heard) < peer.X {
+		if o.Near(now) {
 			near = append(near, id)
 		}
 	}
@@ -579,7 +578,7 @@
 
 // askVia asks a worker for its report through another node.
 func (l *Leader) askVia(ctx context.Context, node wire.NodeID, addr string, cmd wire.Orders) (*wire.Report, int, error) {
-	status, raw, err := l.Mesh.Relay(ctx, node, "/peer/ask", relayed{addr, cmd})
+	status, raw, err := l.Mesh.Relay(ctx, node, "/peer/ask", question{addr, cmd})
 	if err != nil {
 		return nil, 0, err
 	}
@@ -594,7 +593,7 @@
 // It passes on no launches: those the leader keeps account of itself.
 func (l *Leader) Ask(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	raw, err := wire.ReadBody(r.Body, wire.MaxBody)
-	var a relayed
+	var a question
 	if err != nil || wire.Decode(raw, &a) != nil || a.Addr == "" || len(a.Orders.Orders) > 0 {
 		wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: "not a question to a worker"})
 		return
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -67,6 +67,9 @@
 	AckToken wire.Token
 }
 
+// Near tells whether the node was heard lately.
+func (o Other) Near(now time.Time) bool { return now.Sub(o.Heard) < X }
+
 // View is what one node knows of all. It is never changed once published.
 type View struct {
 	// Token is the highest that this node knows of.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -166,14 +166,6 @@
 	return j.ZoneHeld[z] < j.Spec.ZoneCap()
 }
 
-// hold notes one more task of the job in a zone.
-func (j *Job) hold(z wire.Zone) {
-	if j.ZoneHeld == nil {
-		j.ZoneHeld = map[wire.Zone]int{}
-	}
-	j.ZoneHeld[z]++
-}
-
 // room tells whether the team's limit allows one more task.
 func (t *Team) room(take Res) bool {
 	u := t.Used.Plus(take)
@@ -250,7 +242,7 @@
 		m := &s.Machines[mi]
 		m.Free = m.Free.Minus(take)
 		s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
-		j.hold(m.Zone)
+		j.ZoneHeld[m.Zone]++
 		queue[top].left--
 		j.Pending--
 		if j.Spec.Service() {
@@ -431,7 +423,7 @@
 			}
 			m.Free = m.Free.Minus(take)
 			s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
-			j.hold(m.Zone)
+			j.ZoneHeld[m.Zone]++
 			offers[mi] = clearFor(m, j, take)
 		}
 	}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -333,15 +333,13 @@
 	n.mu.Lock()
 	n.held[[2]string{from, to}] = hold
 	n.mu.Unlock()
-	n.release(hold)
+	if !hold {
+		n.flow()
+	}
 }
 
-// release lets what waited on open connections through, unless it must go on
-// waiting.
-func (n *Network) release(hold bool) {
-	if hold {
-		return
-	}
+// flow lets what waited on open connections through.
+func (n *Network) flow() {
 	for _, c := range n.matching(every) {
 		c.in.arrive()
 		c.out.arrive()
@@ -353,7 +351,9 @@
 	n.mu.Lock()
 	n.deaf[ip] = on
 	n.mu.Unlock()
-	n.release(on)
+	if !on {
+		n.flow()
+	}
 }
 
 // Cut holds up both directions.
--- a/node.go
+++ b/node.go
@@ -207,7 +207,7 @@
 		now := time.Now()
 		hears := len(n.cfg.Others) == 0
 		for _, o := range n.mesh.View().Others {
-			if now.Sub(o.Heard) >= peer.X {
+			if !o.Near(now) {
 				continue
 			}
 			hears = true
