--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -74,6 +74,12 @@
 	holder atomic.Pointer[holder]
 	// shunned: until when this node leaves the office to others.
 	shunned time.Time
+	// standFor is how long this node may stand in for a leader that it has
+	// lost; own is its word to itself, from when it led, and stoodAt when it
+	// last stood in.
+	standFor time.Duration
+	own      atomic.Pointer[peer.Grant]
+	stoodAt  atomic.Int64
 }
 
 // New makes the leader's part of a node.
@@ -81,7 +87,7 @@
 	return &Leader{
 		Deps:   d,
 		nonce:  rand.Text(),
-		turned: make(chan wire.MachineID, 64),
+		turned: make(chan wire.MachineID, 64), standFor: standFor(d.Config.Settings.Workers),
 		// A connection to every machine of a usual cluster, and no more than
 		// a share of the sockets.
 		direct: &http.Client{Transport: d.Net.Transport(2, max(16, d.Config.Settings.Limits.FDLimit/8))},
@@ -156,12 +162,17 @@
 	if t == nil || !t.answering() {
 		l.Metrics.Report("elsewhere")
 		if lead := l.leads(time.Now()); lead != "" {
-			if l.relay(r.Context(), w, lead, &rep) {
+			if !l.stoodLately(time.Now()) && l.relay(r.Context(), w, lead, &rep) {
 				return
 			}
 			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: lead})
 			return
 		}
+		if o := l.standIn(&rep); o != nil {
+			l.Metrics.Report("stood in")
+			wire.Answer(w, http.StatusOK, o)
+			return
+		}
 		wire.Refuse(w, http.StatusServiceUnavailable, "no leader known", 1)
 		return
 	}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -201,6 +201,7 @@
 	// will be back, and what runs on them goes on until their leases end: they
 	// are kept, and returned only if the cut outlasts that by far.
 	lease := t.set.Workers.LeaseS.Duration()
+	t.stood = t.stoodIn(now, "")
 	for z, n := range zoneLost {
 		if z != "" && n >= 4 && n*2 > zoneUp[z] && !cutOff {
 			if now.Sub(t.cutAt[z]) > 3*report {
@@ -213,7 +214,7 @@
 		// Where the cut is over the machines need a while to be heard again.
 		cut := !t.cutAt[m.zone].IsZero() && now.Sub(t.cutAt[m.zone]) < 3*report
 		quiet := t.silence(m, now)
-		if cut && !cutOff && quiet > lease*8/10 && t.serves(m) {
+		if cut && !cutOff && quiet > lease*8/10 && t.movable(m, now) {
 			// Its replicas end with its lease, and nothing tells just when. The
 			// cloud can end them for sure, and they are started elsewhere. If
 			// the cloud is away too, its lease is waited out below.
@@ -222,7 +223,7 @@
 		// Before the first list nothing is known of a machine that an earlier
 		// leader used and that has not reported, not even its zone.
 		unknown := m.zone == "" && !t.listed
-		t.watchMachine(m, now, silentAfter, lostAfter, cutOff || unknown || cut && quiet < lease*5/2)
+		t.watchMachine(m, now, silentAfter, lostAfter, cutOff || unknown || cut && quiet < max(lease*5/2, t.set.Workers.CancelS.Duration()*2))
 		if deaf <= max(3, up/4) {
 			t.watchHearing(m, now)
 		}
@@ -239,10 +240,34 @@
 	}
 }
 
-// serves tells whether a machine holds replicas of services.
-func (t *term) serves(m *machine) bool {
+// movable tells whether a machine in a zone that is cut off holds replicas that
+// could be started elsewhere before long: their leases end about now, as no
+// controller in the zone can stand in any more, and other zones may have all
+// that their service runs in this one. (With two zones a service that is spread
+// has nowhere to go; to end its replicas early would gain nothing.)
+func (t *term) movable(m *machine, now time.Time) bool {
+	stays := t.stoodIn(now, m.zone).Add(t.set.Workers.LeaseS.Duration()*8/10 - report(t)*5/4)
+	if now.Before(stays) {
+		return false
+	}
 	for _, a := range m.tasks {
-		if a.job.spec.Service() {
+		if !a.job.spec.Service() || a.job.spec.Site != "" {
+			continue
+		}
+		if !a.job.spec.Apart {
+			return true
+		}
+		held := map[wire.Zone]int{}
+		for _, o := range a.job.attempts() {
+			held[o.m.zone]++
+		}
+		room := 0
+		for _, z := range t.set.Zones {
+			if z != m.zone && now.Sub(t.cutAt[z]) > 3*report(t) {
+				room += a.job.spec.ZoneCap() - held[z]
+			}
+		}
+		if room >= held[m.zone] {
 			return true
 		}
 	}
@@ -367,7 +392,7 @@
 	// A new session has its full time even if no report of it was answered: a
 	// launch sent into it may run that long. (Tasks started right after a
 	// lease had run out were once given up at once, and started again.)
-	last := later(later(m.answered, m.tokenAt), m.shiftAt)
+	last := later(later(m.answered, m.tokenAt), later(m.shiftAt, t.stood))
 	if m.baton < t.first {
 		// It may not have seen our token, so an earlier leader may have
 		// answered it: until X after a majority took our token, or B at most.
--- a/internal/leader/office.go
+++ b/internal/leader/office.go
@@ -115,7 +115,7 @@
 		err := t.l.Store.Renew(ctx, t.permit, time.Second)
 		switch {
 		case err == nil:
-			t.until.Store(int64(lease(sent).Sub(t.born)))
+			t.renewed(sent)
 			wait = renewEvery
 		case errors.Is(err, store.ErrMissing):
 			t.end("the grant is gone")
--- /dev/null
+++ b/internal/leader/standin.go
@@ -0,0 +1,114 @@
+package leader
+
+import (
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/wire"
+)
+
+// A node that has lost the leader and the state service answers the workers
+// that turn to it in the leader's stead: with its token and without orders, so
+// that what runs in a zone that is cut off goes on. It may do so for a while
+// after it last asked the leader, by a beat that the leader answered while it
+// surely held the office. The while is short enough for what a user cancels
+// behind its back: with the lease that its last answer gives, the task is gone
+// within the time for cancellations.
+
+// standMargin covers what a leader takes to hear of a cancellation and to halt
+// its tasks, and the clocks' drift.
+const standMargin = 3 * time.Second
+
+// standFor is how long a node may stand in for a leader that it has lost.
+func standFor(w config.Workers) time.Duration {
+	lease := w.LeaseS.Duration()
+	if d := w.CancelS.Duration() - lease - lease/500 - standMargin; d > 2*peer.X {
+		return d
+	}
+	return 0
+}
+
+// mayStandIn tells whether this node may answer a worker that has seen the
+// token in the leader's stead, and with which token: the newest that it knows
+// of, from a leader that it has not heard since.
+func (l *Leader) mayStandIn(baton wire.Token) (wire.Token, bool) {
+	v, now := l.Mesh.View(), time.Now()
+	g := v.Grant
+	if own := l.own.Load(); own != nil && own.Token >= g.Token {
+		g = *own
+	}
+	ok := g.Token > 0 && g.Token == v.Token && baton <= g.Token && now.Sub(g.Sent) < l.standFor &&
+		now.Sub(v.Others[g.From].Heard) >= 2*peer.X && !l.Store.Reachable()
+	return g.Token, ok
+}
+
+// standIn answers a report in the lost leader's stead, nil if it may not.
+func (l *Leader) standIn(rep *wire.Report) *wire.Orders {
+	if _, ok := l.mayStandIn(rep.Baton); !ok {
+		return nil
+	}
+	l.Mesh.StandsIn()
+	l.stoodAt.Store(time.Now().UnixNano())
+	token, ok := l.mayStandIn(rep.Baton) // again, now that others can know
+	if !ok {
+		return nil
+	}
+	return &wire.Orders{Baton: token, Orders: []wire.Order{}}
+}
+
+// stoodLately tells whether workers stayed with this node because it stood in:
+// they are not cut off from the leader that is back.
+func (l *Leader) stoodLately(now time.Time) bool {
+	at := l.stoodAt.Load()
+	return at > 0 && now.Sub(time.Unix(0, at)) < 2*l.Config.Settings.Workers.ReportS.Duration()+2*peer.X
+}
+
+// Grants is the token with which this node surely leads, 0 if it does not.
+func (l *Leader) Grants() wire.Token {
+	if t := l.term.Load(); t != nil && t.deciding() {
+		return wire.Token(t.grants.Load())
+	}
+	return 0
+}
+
+// renewed notes a renewal of the office that was asked for at sent: until a
+// while after it this node may stand in for itself.
+func (t *term) renewed(sent time.Time) {
+	t.until.Store(int64(lease(sent).Sub(t.born)))
+	if token := wire.Token(t.grants.Load()); token > 0 {
+		t.l.own.Store(&peer.Grant{From: t.l.Config.HostName, Token: token, Sent: sent})
+	}
+}
+
+// standsUntil is the latest time at which another node can answer a worker in
+// a leader's stead, or can have. One that acknowledged a beat of ours of the
+// last seconds has heard us too lately to stand in; it says itself when it did
+// last. Of one that never acknowledged our token, an earlier leader's word may
+// be in force: that leader's last was before this term.
+func (t *term) standsUntil(id wire.NodeID, now time.Time) time.Time {
+	o := t.l.Mesh.View().Others[id]
+	at := o.Stood
+	if o.AckToken < t.first {
+		at = later(at, t.born.Add(t.l.standFor))
+	}
+	if now.Sub(o.AckSent) > 3*peer.X/2 && !o.Granted.IsZero() {
+		at = later(at, o.Granted.Add(t.l.standFor))
+	}
+	return at
+}
+
+// stoodIn is the latest of these times over all other nodes, or over those in
+// a zone.
+func (t *term) stoodIn(now time.Time, zone wire.Zone) time.Time {
+	var at time.Time
+	if t.l.standFor == 0 {
+		return at
+	}
+	for _, o := range t.l.Config.Others {
+		if zone == "" || o.Zone == zone {
+			at = later(at, t.standsUntil(o.HostName, now))
+		}
+	}
+	return at
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -36,8 +36,9 @@
 	l       *Leader
 	permit  wire.GrantID
 	born    time.Time
-	until   atomic.Int64 // since born
-	blind   atomic.Int64 // since born: until then reports may be answered without the state service
+	until   atomic.Int64  // since born
+	blind   atomic.Int64  // since born: until then reports may be answered without the state service
+	grants  atomic.Uint64 // the token under which others may stand in; 0: none yet
 	hellos  chan hello
 	inbox   chan func()
 	over    chan struct{}
@@ -59,6 +60,7 @@
 	gone      map[wire.MachineID]time.Time // released, answered 200
 	probed    bool                         // every machine of the first list has been asked
 	cutAt     map[wire.Zone]time.Time      // when most of a zone was last silent
+	stood     time.Time                    // when another node can last have stood in for a leader
 	blindAt   time.Time
 	acked     time.Time // when a majority first held our token
 
@@ -196,6 +198,12 @@
 	// Bounded by B from the end of the grant, so that a successor knows when
 	// this node answered last, at the latest.
 	bound := time.Duration(t.until.Load()) + peer.B - haste
+	if t.l.standFor > 0 && slices.ContainsFunc(t.l.Config.Others, func(o config.Other) bool { return now.Sub(v.Others[o.HostName].Heard) > 2*peer.X }) {
+		// Not all nodes are heard: it may be no outage but a cut, behind which
+		// another leads and users cancel jobs. Then no longer than a node may
+		// stand in for a leader.
+		bound = min(bound, time.Duration(t.until.Load())-(grantLife-haste)+t.l.standFor)
+	}
 	t.blind.Store(int64(min(until.Sub(t.born), bound)))
 	if t.deciding() {
 		if !t.blindAt.IsZero() {
@@ -338,6 +346,7 @@
 		t.apply(t.machine(rep.Host), &rep, true, time.Now())
 	}
 	t.early = nil
+	t.grants.Store(uint64(t.token)) // only now cancellations are known
 	t.probeSome()
 }
 
--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -323,6 +323,9 @@
 func (t *term) raised(token wire.Token, b *batch) {
 	t.log().Info("token raised", "from", t.token, "to", token)
 	t.token = token
+	if t.recovered {
+		t.grants.Store(uint64(token))
+	}
 	t.l.Mesh.Raise(t.ctx, token)
 	t.raising = false
 	if b != nil {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -47,11 +47,18 @@
 	Serves bool `cbor:"serves"`
 	// Hears is how many workers turned to the sender lately.
 	Hears int `cbor:"hears"`
+	// Grants, in an answer, is the token with which the sender surely leads:
+	// who asked may stand in for it for a while, counted from asking.
+	Grants wire.Token `cbor:"grants,omitempty"`
+	// Stood, in an answer, is how long ago the sender last stood in for a
+	// leader; 0: never in this life.
+	Stood time.Duration `cbor:"stood,omitempty"`
 }
 
 // Self is what this node tells the others.
 type Self struct {
 	Leads  bool
+	Grants wire.Token
 	Serves bool
 	Hears  int
 }
@@ -65,6 +72,18 @@
 	// the token acknowledged by it.
 	AckSent  time.Time
 	AckToken wire.Token
+	// Granted is when this node last let the other stand in for it.
+	Granted time.Time
+	// Stood is when the other last stood in for a leader, at the latest, as of
+	// that answer.
+	Stood time.Time
+}
+
+// Grant is a leader's word that this node may stand in for it.
+type Grant struct {
+	From  wire.NodeID
+	Token wire.Token
+	Sent  time.Time // when this node asked for it
 }
 
 // Near tells whether the node was heard lately.
@@ -77,6 +96,8 @@
 	// Leader is who leads with it, if a beat said so lately.
 	Leader wire.NodeID
 	Others map[wire.NodeID]Other
+	// Grant is the newest that this node has.
+	Grant Grant
 }
 
 type event struct {
@@ -97,6 +118,7 @@
 	raise  chan wire.Token
 	view   atomic.Pointer[View]
 	born   time.Time
+	stood  atomic.Int64 // since born, of the last time that this node stood in
 	client *http.Client
 }
 
@@ -128,6 +150,11 @@
 	}
 }
 
+// StandsIn notes that this node is about to stand in for a leader. It is told
+// before the node looks whether it may: an answer to a beat that lacks it was
+// then made before the look, which sees that beat.
+func (m *Mesh) StandsIn() { m.stood.Store(max(1, int64(time.Since(m.born)))) }
+
 // AckedUntil is until when an acknowledgement of the token by so many nodes,
 // this one included, is young enough to count; zero if it never was.
 func (v *View) AckedUntil(t wire.Token, nodes int) time.Time {
@@ -157,6 +184,8 @@
 	}
 	cur := View{Others: map[wire.NodeID]Other{}}
 	for {
+		var reply chan Beat
+		var answer Beat
 		select {
 		case <-ctx.Done():
 			return
@@ -170,32 +199,46 @@
 			if e.ack {
 				if e.sent.After(o.AckSent) {
 					o.AckSent, o.AckToken = e.sent, e.beat.Token
+					if e.beat.Stood > 0 {
+						o.Stood = o.Heard.Add(-e.beat.Stood)
+					}
 				}
 			} else {
 				o.Beat = e.beat
 			}
-			cur.Others[e.from] = o
 			if e.beat.Token > cur.Token {
 				cur.Token, cur.Leader = e.beat.Token, ""
 			}
+			if e.ack && e.beat.Grants > 0 && e.beat.Grants == cur.Token {
+				cur.Grant = Grant{e.from, e.beat.Grants, e.sent}
+			}
 			if !e.ack && e.beat.Leads && e.beat.Token == cur.Token {
 				cur.Leader = e.from
 			} else if !e.ack && cur.Leader == e.from {
 				cur.Leader = ""
 			}
 			if e.reply != nil {
-				answer := Beat{From: m.name, Seq: e.beat.Seq}
+				reply, answer = e.reply, Beat{From: m.name, Seq: e.beat.Seq}
 				if time.Since(m.born) >= X {
 					answer.Token = cur.Token
 				}
-				e.reply <- answer
+				if g := m.self().Grants; g > 0 && g == cur.Token {
+					answer.Grants, o.Granted = g, time.Now()
+				}
+				if at := m.stood.Load(); at > 0 {
+					answer.Stood = max(1, time.Since(m.born)-time.Duration(at))
+				}
 			}
+			cur.Others[e.from] = o
 		}
-		next := View{Token: cur.Token, Leader: cur.Leader, Others: make(map[wire.NodeID]Other, len(cur.Others))}
+		next := View{Token: cur.Token, Leader: cur.Leader, Grant: cur.Grant, Others: make(map[wire.NodeID]Other, len(cur.Others))}
 		for k, o := range cur.Others {
 			next.Others[k] = o
 		}
 		m.view.Store(&next)
+		if reply != nil {
+			reply <- answer // only now: what it says is in the view
+		}
 	}
 }
 
--- a/node.go
+++ b/node.go
@@ -81,7 +81,7 @@
 	n.store = store.New(cfg.Endpoints.State, set.State, set.Size, n.net)
 	n.cloud = cloud.New(cfg.Endpoints.Cloud, set.Cloud, n.net)
 	n.mesh = peer.New(cfg.HostName, cfg.Others, func() peer.Self {
-		return peer.Self{Leads: n.leader.Leads(), Serves: n.store.Reachable(), Hears: n.leader.Hears()}
+		return peer.Self{Leads: n.leader.Leads(), Grants: n.leader.Grants(), Serves: n.store.Reachable(), Hears: n.leader.Hears()}
 	}, n.net, n.log)
 	met := admin.NewMetrics()
 	n.store.Observe = met.Call("state")
