--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -202,19 +202,19 @@
 	// are kept, and returned only if the cut outlasts that by far.
 	lease := t.set.Workers.LeaseS.Duration()
 	t.stood = t.stoodIn(now, "")
-	for z, n := range zoneLost {
-		if z != "" && n >= 4 && n*2 > zoneUp[z] && !cutOff {
-			if now.Sub(t.cutAt[z]) > 3*report {
-				t.log().Info("zone seems cut off", "zone", z, "silent", n, "of", zoneUp[z])
+	for z, n := range zoneUp {
+		if z != "" && n >= 4 && !cutOff && (zoneLost[z] >= 4 && zoneLost[z]*2 > n || t.hushed(z, n, up, now)) {
+			if !t.wasCut(z, now) {
+				t.log().Info("zone seems cut off", "zone", z, "silent", zoneLost[z], "of", n)
 			}
 			t.cutAt[z] = now
 		}
 	}
 	for _, m := range t.machines {
 		// Where the cut is over the machines need a while to be heard again.
-		cut := !t.cutAt[m.zone].IsZero() && now.Sub(t.cutAt[m.zone]) < 3*report
+		cut := t.wasCut(m.zone, now)
 		quiet := t.silence(m, now)
-		if cut && !cutOff && quiet > lease*8/10 && t.movable(m, now) {
+		if cut && !cutOff && t.movable(m, now) {
 			// Its replicas end with its lease, and nothing tells just when. The
 			// cloud can end them for sure, and they are started elsewhere. If
 			// the cloud is away too, its lease is waited out below.
@@ -240,14 +240,53 @@
 	}
 }
 
+// heard is when something last came from a zone's machines, and how many
+// reports had come from all zones by then.
+type heard struct {
+	at      time.Time
+	reports int
+}
+
+const (
+	// hushAfter and hushReports: a zone is taken for cut off when nothing came
+	// from it for a while in which so many reports of its own were due, by what
+	// came from the others. (Waiting until most of its machines were overdue,
+	// the leader had returned three quarters of a large zone one by one.)
+	hushAfter   = 1500 * time.Millisecond
+	hushReports = 12
+)
+
+// hushed tells whether a zone with n of the machines that are up has gone
+// silent as a whole. Reports are counted, not time: when this node is slow
+// nothing comes from any zone.
+func (t *term) hushed(z wire.Zone, n, up int, now time.Time) bool {
+	h := t.heard[z]
+	return now.Sub(later(h.at, t.born)) > hushAfter && (t.reports-h.reports)*n >= hushReports*up
+}
+
+// wasCut tells whether a zone seems cut off, or did so lately: its machines
+// need a while to be heard again.
+func (t *term) wasCut(z wire.Zone, now time.Time) bool {
+	at, ok := t.cutAt[z]
+	return ok && now.Sub(at) < 3*report(t)
+}
+
+// behindCut tells whether a machine was not heard since its zone seemed cut
+// off. It takes nothing new, and its room is not counted on: what was placed
+// there once waited for the end of the cut, and nothing was rented in its
+// place.
+func (t *term) behindCut(m *machine, now time.Time) bool {
+	return t.wasCut(m.zone, now) && m.seenAt.Before(t.cutAt[m.zone])
+}
+
 // movable tells whether a machine in a zone that is cut off holds replicas that
 // could be started elsewhere before long: their leases end about now, as no
 // controller in the zone can stand in any more, and other zones may have all
 // that their service runs in this one. (With two zones a service that is spread
 // has nowhere to go; to end its replicas early would gain nothing.)
 func (t *term) movable(m *machine, now time.Time) bool {
-	stays := t.stoodIn(now, m.zone).Add(t.set.Workers.LeaseS.Duration()*8/10 - report(t)*5/4)
-	if now.Before(stays) {
+	answered := later(later(m.seenAt, t.born), t.stoodIn(now, m.zone).Add(-report(t)*5/4))
+	if now.Sub(answered) < t.set.Workers.LeaseS.Duration()*95/100 {
 		return false
 	}
 	for _, a := range m.tasks {
@@ -263,7 +302,7 @@
 		}
 		room := 0
 		for _, z := range t.set.Zones {
-			if z != m.zone && now.Sub(t.cutAt[z]) > 3*report(t) {
+			if z != m.zone && !t.wasCut(z, now) {
 				room += a.job.spec.ZoneCap() - held[z]
 			}
 		}
@@ -521,7 +560,7 @@
 		if m.booting && now.Sub(m.rentedAt) > f.ReadyS.Duration()*2 {
 			continue // not to be counted on
 		}
-		if !m.booting && t.silence(m, now) > 3*report(t) {
+		if !m.booting && t.silence(m, now) > 3*report(t) || t.behindCut(m, now) {
 			continue
 		}
 		for _, a := range m.tasks {
@@ -582,8 +621,8 @@
 	for _, f := range flavors {
 		for _, z := range f.Sites {
 			for _, spot := range []bool{false, true} {
-				if b := t.fleet.offers[offerID{f.Name, z, spot}]; b != nil && now.Before(b.until) {
-					continue
+				if b := t.fleet.offers[offerID{f.Name, z, spot}]; b != nil && now.Before(b.until) || now.Sub(t.cutAt[z]) < 2*hushAfter {
+					continue // refused, or not to be heard of for now
 				}
 				if t.booked(offerID{f.Name, z, spot}) {
 					continue // one unresolved booking for each
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -235,6 +235,10 @@
 	if !rep.Newer(m.shift, m.tally) || m.reborn {
 		return false
 	}
+	if viaHello {
+		t.reports++
+	}
+	t.heard[rep.Site] = heard{now, t.reports}
 	if m.upAt.IsZero() {
 		m.upAt = now
 		t.fleetUp(m, now)
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -59,7 +59,9 @@
 	machines  map[wire.MachineID]*machine
 	gone      map[wire.MachineID]time.Time // released, answered 200
 	probed    bool                         // every machine of the first list has been asked
-	cutAt     map[wire.Zone]time.Time      // when most of a zone was last silent
+	cutAt     map[wire.Zone]time.Time      // when a zone last seemed cut off
+	heard     map[wire.Zone]heard          // what last came from each zone
+	reports   int                          // that came in, in all
 	stood     time.Time                    // when another node can last have stood in for a leader
 	blindAt   time.Time
 	acked     time.Time // when a majority first held our token
@@ -86,7 +88,7 @@
 		hellos: make(chan hello, 32), inbox: make(chan func(), 32), over: make(chan struct{}),
 		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{},
 		machines: map[wire.MachineID]*machine{}, gone: map[wire.MachineID]time.Time{},
-		cutAt: map[wire.Zone]time.Time{}, dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
+		cutAt: map[wire.Zone]time.Time{}, heard: map[wire.Zone]heard{}, dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
 	}
 	t.until.Store(int64(o.until.Sub(o.at)))
 	t.fleet.init()
--- a/world_test.go
+++ b/world_test.go
@@ -605,9 +605,10 @@
 	})
 }
 
-// A leader cut off from its peers only goes on leading; in an outage on top
-// it must stop answering, since no majority agrees, and nothing may run twice
-// when the leases have run out.
+// A leader cut off from its peers only goes on leading; in an outage on top it
+// may answer for as long as a node may stand in for a lost leader and must stop
+// then, since no majority agrees, and nothing may run twice when the leases
+// have run out.
 func TestLeaderCutFromPeers(t *testing.T) {
 	play(t, 18, func(w *standin.World, at func(time.Duration)) {
 		s, a := service(1, 3), array(2, 6, 30)
@@ -632,6 +633,8 @@
 		}
 		w.State.Outage(true)
 		at(95 * time.Second)
+		mustRun(t, w, s, "25 s after the state service is gone too")
+		at(112 * time.Second)
 		w.Checked(func(c *standin.Checker) {
 			if n := c.On(s.Spec.ID); n != 0 {
 				t.Errorf("%d replicas outlive their leases without a majority", n)
