--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -201,7 +201,7 @@
 	// will be back, and what runs on them goes on until their leases end: they
 	// are kept, and returned only if the cut outlasts that by far.
 	lease := t.set.Workers.LeaseS.Duration()
-	t.stood = t.stoodIn(now, "")
+	t.stood = t.stoodIn(now)
 	for z, n := range zoneUp {
 		if z != "" && n >= 4 && !cutOff && (zoneLost[z] >= 4 && zoneLost[z]*2 > n || t.hushed(z, n, up, now)) {
 			if !t.wasCut(z, now) {
@@ -285,7 +285,12 @@
 // that their service runs in this one. (With two zones a service that is spread
 // has nowhere to go; to end its replicas early would gain nothing.)
 func (t *term) movable(m *machine, now time.Time) bool {
-	answered := later(later(m.seenAt, t.born), t.stoodIn(now, m.zone).Add(-report(t)*5/4))
+	answered := m.seenAt
+	if lost := t.lostSince(m.zone); !lost.IsZero() {
+		answered = later(answered, lost.Add(t.l.standFor-report(t)*5/4))
+	} else if answered.IsZero() {
+		answered = t.born
+	}
 	if now.Sub(answered) < t.set.Workers.LeaseS.Duration()*95/100 {
 		return false
 	}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -155,7 +155,7 @@
 // last life.
 func (t *term) reborn(m *machine, rep *wire.Report, now time.Time) {
 	t.log().Info("machine began a new life", "machine", m.id, "tasks", len(m.tasks), "shift", rep.Shift, "tally", rep.Tally, "was_shift", m.shift, "was_tally", m.tally)
-	m.shift, m.tally = 0, 0
+	m.shift, m.tally, m.images = 0, 0, imageCache{}
 	for _, a := range m.tasks {
 		a.helloTally = 0 // the answer that carried it went to the last life
 	}
@@ -245,7 +245,8 @@
 		t.wantRound()
 	}
 	if rep.Shift > m.shift {
-		m.images = imageCache{} // a new session may be a new life
+		// A lease that ran out leaves the images where they are; a new life
+		// starts from the first session again.
 		m.shiftAt = now
 	}
 	m.addr, m.kit, m.zone, m.spot = rep.Addr, rep.Kit, rep.Site, rep.Standby
--- a/internal/leader/standin.go
+++ b/internal/leader/standin.go
@@ -98,16 +98,27 @@
 	return at
 }
 
-// stoodIn is the latest of these times over all other nodes, or over those in
-// a zone.
-func (t *term) stoodIn(now time.Time, zone wire.Zone) time.Time {
+// stoodIn is the latest of these times over all other nodes.
+func (t *term) stoodIn(now time.Time) time.Time {
 	var at time.Time
 	if t.l.standFor == 0 {
 		return at
 	}
 	for _, o := range t.l.Config.Others {
-		if zone == "" || o.Zone == zone {
-			at = later(at, t.standsUntil(o.HostName, now))
+		at = later(at, t.standsUntil(o.HostName, now))
+	}
+	return at
+}
+
+// lostSince is since when no node in a zone is heard, zero if none ever was: a
+// guess at when those there were cut off, whoever led then. Nothing that has to
+// be sure rests on it.
+func (t *term) lostSince(zone wire.Zone) time.Time {
+	var at time.Time
+	v := t.l.Mesh.View()
+	for _, o := range t.l.Config.Others {
+		if o.Zone == zone {
+			at = later(at, v.Others[o.HostName].Heard)
 		}
 	}
 	return at
