--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -32,6 +32,11 @@
 	Flavors *FlavorBox
 	Log     *slog.Logger
 	Metrics Metrics
+	// Sockets is how many connections may go to workers at a time, Workers how
+	// many of them one node can hold, and Needed the limit that more need.
+	Sockets int
+	Workers int
+	Needed  func(workers int) int
 }
 
 // Metrics is told what happens; nil functions are not allowed.
@@ -71,7 +76,11 @@
 	turned chan wire.MachineID
 	hears  atomic.Int64
 	direct *http.Client
-	holder atomic.Pointer[holder]
+	// lines bounds the commands under way to workers and asks the mere
+	// questions, each with a connection of its own: those to a zone that is cut
+	// off hang, and launches must not wait behind them.
+	lines, asks chan struct{}
+	holder      atomic.Pointer[holder]
 	// shunned: until when this node leaves the office to others.
 	shunned time.Time
 	// standFor is how long this node may stand in for a leader that it has
@@ -88,9 +97,8 @@
 		Deps:   d,
 		nonce:  rand.Text(),
 		turned: make(chan wire.MachineID, 64), standFor: standFor(d.Config.Settings.Workers),
-		// A connection to every machine of a usual cluster, and no more than
-		// a share of the sockets.
-		direct: &http.Client{Transport: d.Net.Transport(2, max(16, d.Config.Settings.Limits.FDLimit/8))},
+		direct: &http.Client{Transport: d.Net.Transport(2, max(4, d.Sockets/2))},
+		lines:  make(chan struct{}, max(4, d.Sockets/3)), asks: make(chan struct{}, max(2, d.Sockets/6)),
 	}
 }
 
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -385,7 +385,7 @@
 		return
 	}
 	quiet := t.silence(m, now)
-	if quiet > silentAfter && m.probes < 4 && !m.busy {
+	if quiet > silentAfter && m.probes < 4 && !m.busy && !(m.probes > 0 && t.behindCut(m, now)) {
 		t.probe(m)
 	}
 	gone := !m.notice.IsZero() && now.After(m.notice.Add(time.Second)) && quiet > report(t)+time.Second
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -517,6 +517,16 @@
 	if cmd.Orders == nil {
 		cmd.Orders = []wire.Order{}
 	}
+	line := l.lines
+	if len(cmd.Orders) == 0 {
+		line = l.asks
+	}
+	select {
+	case line <- struct{}{}:
+		defer func() { <-line }()
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	status, raw, _, err := netio.Call(ctx, l.direct, "POST", "http://"+addr+"/commands", cmd, 1<<20)
--- a/internal/leader/safety_test.go
+++ b/internal/leader/safety_test.go
@@ -14,8 +14,8 @@
 )
 
 // rig is a term without I/O, with one job of one task held on one machine.
-func rig(t *testing.T) (*term, *machine, *attempt) {
-	t.Helper()
+func rig(tb testing.TB) (*term, *machine, *attempt) {
+	tb.Helper()
 	cfg := &config.Config{Settings: config.Settings{Size: 3, Workers: config.Workers{ReportS: 2, LeaseS: 16, CancelS: 41}}}
 	l := &Leader{Deps: Deps{Config: cfg, Tuning: tuning.NewBox(), Flavors: &FlavorBox{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Metrics: Metrics{Moved: func(string) {}, Waited: func(string, float64) {}, Fleet: func(string, int) {}, Machines: func(map[string]int) {}}}}
--- /dev/null
+++ b/internal/leader/size_test.go
@@ -0,0 +1,211 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// The sizes that the benchmarks compare: cost that grows faster than the
+// machines shows as a ratio above their ratio.
+var sizes = []int{500, 3000}
+
+// filling is a job whose tasks are put on machines one after the other.
+type filling struct {
+	j    *job
+	left int
+}
+
+func (f *filling) put(m *machine, now time.Time) {
+	i := f.j.spec.Parts - f.left
+	f.left--
+	f.j.chunk(0).hold(&attempt{job: f.j, chunk: f.j.chunk(0), index: i, try: wire.Attempt(i + 1), m: m, at: now, sent: true, sentShift: 1, seen: true, phase: wire.Active, runAt: now, ready: now})
+	m.images.touch(f.j.spec.Bundle, 1, 50, now)
+}
+
+// sized is a term of so many machines of four processors in three zones, half
+// of them full of replicas and half running arrays, with some jobs waiting.
+func sized(tb testing.TB, n int) *term {
+	tb.Helper()
+	tm, first, a := rig(tb)
+	tm.drop(a, taskDone)
+	delete(tm.machines, first.id)
+	delete(tm.jobs, "req-1")
+	clear(tm.dirty)
+	clear(tm.closing)
+	ctx, cancel := context.WithCancel(context.Background())
+	tb.Cleanup(cancel)
+	tm.ctx = ctx
+	away(tm)
+	tm.l.Mesh = peer.New("a", nil, func() peer.Self { return peer.Self{} }, standin.NewNetwork(0).Host("10.0.0.1"), tm.l.Log)
+	tm.l.Metrics.Round = func(time.Duration, int, int) {}
+	tm.l.Metrics.Report = func(string) {}
+	zones := []wire.Zone{"a", "b", "c"}
+	tm.set.Zones = zones
+	tm.set.Teams = []config.Team{{Name: "red", CPUs: float64(n), CPUsMax: 8 * float64(n)}}
+	tm.set.State.TxnOps = 12
+	tm.set.Workers = config.Workers{ReportS: 10, LeaseS: 45, CancelS: 70}
+	tm.l.Flavors.Set([]wire.Flavor{{Name: "k4", CPUs: 4, RAM: 32, LocalGB: 50, PullGBPerS: 0.25, Rate: 0.28, LowPrice: 0.12, ReadyS: 35, Sites: zones}})
+	now := time.Now()
+	tm.listed, tm.placing = true, true
+	tm.born = now.Add(-time.Minute)
+	job := func(id int, parts int, s wire.Spec) *job {
+		s.ID, s.Owner, s.Parts = wire.JobID(fmt.Sprintf("req-%06d", id)), "red", parts
+		s.Bundle, s.ImageGB = wire.ImageID(fmt.Sprint("img-", id%24)), 1
+		j := newJob(store.JobRecord{Spec: s, At: wire.StampOf(now.Add(-20 * time.Second))}, wire.Revision(id))
+		tm.jobs[s.ID] = j
+		return j
+	}
+	service := wire.Spec{Lane: "live", Shape: wire.Daemon, Urgency: wire.Prod, CPUs: 1, RAM: 4.8, Apart: true}
+	array := wire.Spec{Lane: "recon", Shape: wire.Sweep, Urgency: wire.Standard, CPUs: 3, RAM: 25, Standby: true, Expected: 25, Due: 80}
+	id := 0
+	var serving, working *filling
+	for i := range n {
+		m := tm.machine(wire.MachineID(fmt.Sprintf("n-%06d", i)))
+		m.kit, m.zone, m.spot, m.addr = "k4", zones[i%3], i%2 == 1, fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250+1)
+		m.shift, m.tally, m.baton, m.upAt, m.seenAt, m.directAt, m.answered = 1, 10, tm.token, now, now, now, now
+		m.rentedAt = now.Add(-2 * time.Minute)
+		if i%2 == 0 {
+			for range 4 {
+				if serving == nil || serving.left == 0 {
+					id++
+					serving = &filling{job(id, 8, service), 8}
+				}
+				serving.put(m, now)
+			}
+			continue
+		}
+		if working == nil || working.left == 0 {
+			id++
+			working = &filling{job(id, 30, array), 30}
+		}
+		working.put(m, now)
+	}
+	for range n / 100 {
+		id++
+		job(id, 30, array)
+	}
+	return tm
+}
+
+// reportOf what runs on a machine.
+func reportOf(m *machine) wire.Report {
+	r := wire.Report{Host: m.id, Addr: m.addr, Kit: m.kit, Site: m.zone, Standby: m.spot, Shift: m.shift, Tally: m.tally + 1, Baton: m.baton}
+	for task, a := range m.tasks {
+		r.Parts = append(r.Parts, wire.PartState{Part: task.String(), Try: a.try, Phase: a.phase})
+	}
+	return r
+}
+
+func atSizes(b *testing.B, f func(b *testing.B, tm *term, n int)) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			tm := sized(b, n)
+			b.ReportAllocs()
+			b.ResetTimer()
+			f(b, tm, n)
+		})
+	}
+}
+
+// A full round of reports, through the handler and the loop's part of it.
+func BenchmarkReportRound(b *testing.B) {
+	atSizes(b, func(b *testing.B, tm *term, _ int) {
+		go func() {
+			for h := range tm.hellos {
+				tm.onHello(h)
+			}
+		}()
+		defer close(tm.hellos)
+		for b.Loop() {
+			for _, m := range tm.machines {
+				r := httptest.NewRequest("POST", "/hello", nil)
+				rep := reportOf(m)
+				raw := wire.Encode(rep)
+				var got wire.Report
+				if wire.Decode(raw, &got) != nil {
+					b.Fatal("report")
+				}
+				w := httptest.NewRecorder()
+				tm.l.serve(r.Context(), w, tm, got, false)
+				if w.Code != 200 {
+					b.Fatal(w.Code, w.Body)
+				}
+			}
+		}
+	})
+}
+
+// A round of placement with jobs waiting and every machine taken but a few.
+func BenchmarkRound(b *testing.B) {
+	atSizes(b, func(b *testing.B, tm *term, _ int) {
+		for b.Loop() {
+			tm.round(time.Now())
+		}
+	})
+}
+
+// The tick over all machines.
+func BenchmarkTick(b *testing.B) {
+	atSizes(b, func(b *testing.B, tm *term, _ int) {
+		for b.Loop() {
+			now := time.Now()
+			for _, m := range tm.machines {
+				m.seenAt = now
+			}
+			tm.watchMachines(now)
+		}
+	})
+}
+
+// What follows each event: a look at what is to be written, with many books
+// waiting for the budget.
+func BenchmarkSettle(b *testing.B) {
+	atSizes(b, func(b *testing.B, tm *term, _ int) {
+		for _, j := range tm.jobs {
+			tm.mark(j.chunk(0))
+		}
+		tm.bookAt = time.Now().Add(time.Hour)
+		tm.lastRound = time.Now().Add(time.Hour)
+		for b.Loop() {
+			tm.settle(time.Now())
+		}
+	})
+}
+
+// A plan of the fleet: no offers, so that it rents nothing.
+func BenchmarkFleetPlan(b *testing.B) {
+	atSizes(b, func(b *testing.B, tm *term, _ int) {
+		for b.Loop() {
+			tm.planFleet(time.Now())
+			tm.fleet.bookings = map[string]*booking{}
+		}
+	})
+}
+
+// Recovery: jobs and progress read back from records.
+func BenchmarkRecovery(b *testing.B) {
+	atSizes(b, func(b *testing.B, tm *term, _ int) {
+		var jobs, runs []wire.Entry
+		for _, j := range tm.jobs {
+			jobs = append(jobs, wire.Entry{Key: store.JobKey(j.spec.ID), Stamp: j.stamp, Value: wire.Encode(store.JobRecord{Spec: j.spec, Status: wire.Queued, At: wire.StampOf(j.at)})})
+			runs = append(runs, wire.Entry{Key: store.ChunkKey(j.spec.ID, 0), Stamp: j.stamp, Value: wire.Encode(j.chunk(0).record())})
+		}
+		for b.Loop() {
+			next := newTerm(tm.l, office{token: 51, at: time.Now(), until: time.Now().Add(time.Hour)})
+			next.ctx = tm.ctx
+			next.take(jobs, runs)
+			if len(next.jobs) != len(jobs) {
+				b.Fatal(len(next.jobs))
+			}
+		}
+	})
+}
--- a/internal/leader/view.go
+++ b/internal/leader/view.go
@@ -87,6 +87,9 @@
 			waiting++
 		}
 	}
+	if most := t.l.Workers; up > most {
+		t.log().Warn("more machines than the sockets of one controller hold", "machines", up, "hold", most, "fd_limit_needed", t.l.Needed(up))
+	}
 	t.log().Info("standing", "token", t.token, "up", up, "booting", booting, "idle", idle, "jobs", len(t.jobs), "jobs_waiting", waiting,
 		"tasks_held", held, "tasks_waiting", tasks-held-done, "backlog_s", int(t.fleet.backlog), "round", t.roundTook, "late", time.Since(now))
 }
--- a/node.go
+++ b/node.go
@@ -9,13 +9,11 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"runtime"
 	"runtime/debug"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -83,6 +81,7 @@
 	n.mesh = peer.New(cfg.HostName, cfg.Others, func() peer.Self {
 		return peer.Self{Leads: n.leader.Leads(), Grants: n.leader.Grants(), Serves: n.store.Reachable(), Hears: n.leader.Hears()}
 	}, n.net, n.log)
+	split := splitSockets(set.Limits, set.Size)
 	met := admin.NewMetrics()
 	n.store.Observe = met.Call("state")
 	n.cloud.Observe = met.Call("cloud")
@@ -90,6 +89,7 @@
 	met.Budget("state changes", func() float64 { _, writes := n.store.Left(); return writes })
 	n.leader = leader.New(leader.Deps{
 		Config: cfg, Net: n.net, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: met.Leader(),
+		Sockets: split.direct, Workers: split.workers(), Needed: func(workers int) int { return needed(workers, set.Limits, set.Size) },
 	})
 	n.intake = intake.New(set, n.store, n.flavors.Get, n.log)
 	n.intake.Observe = met.Request
@@ -131,10 +131,14 @@
 		front.Close()
 		return fmt.Errorf("peer_bind: %w", err)
 	}
-	// Sockets are kept back for state service, cloud, peers and workers.
-	limited := newLimited(front, max(16, lim.FDLimit*6/10))
+	split := splitSockets(lim, n.cfg.Settings.Size)
+	n.log.Info("sockets", "limit", lim.FDLimit, "split", split, "workers_alone", split.workers())
+	if split.memoryNeeded > lim.MemoryMB {
+		n.log.Warn("memory_mb is too small for fd_limit: fewer connections are accepted", "memory_mb", lim.MemoryMB, "needed", int(split.memoryNeeded))
+	}
+	door := newDoor(front, split.front, n.log)
 	frontSrv := &http.Server{
-		Handler: n.frontRoutes(), ReadHeaderTimeout: 4 * time.Second, ReadTimeout: 8 * time.Second,
+		Handler: door.knows(n.frontRoutes()), ConnState: door.state, ConnContext: door.context, ReadHeaderTimeout: 4 * time.Second, ReadTimeout: 8 * time.Second,
 		WriteTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	var protocols http.Protocols
@@ -153,7 +157,7 @@
 		}
 	})
 	errs := make(chan error, 2)
-	go func() { errs <- frontSrv.Serve(limited) }()
+	go func() { errs <- frontSrv.Serve(door) }()
 	go func() { errs <- peerSrv.Serve(peers) }()
 	n.log.Info("serves", "front", n.cfg.Front, "peers", n.cfg.PeerBind)
 	select {
@@ -249,35 +253,3 @@
 		}
 	}
 }
-
-// limited bounds the open connections of a listener: the platform's limit
-// makes further accepts fail, and sockets to our own services come first.
-type limited struct {
-	net.Listener
-	slots chan struct{}
-}
-
-func newLimited(l net.Listener, n int) *limited {
-	return &limited{Listener: l, slots: make(chan struct{}, n)}
-}
-
-func (l *limited) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &slotConn{Conn: c, slots: l.slots}, nil
-}
-
-type slotConn struct {
-	net.Conn
-	slots chan struct{}
-	once  sync.Once
-}
-
-func (c *slotConn) Close() error {
-	c.once.Do(func() { <-c.slots })
-	return c.Conn.Close()
-}
