--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -203,7 +203,7 @@
 	lease := t.set.Workers.LeaseS.Duration()
 	t.stood = t.stoodIn(now)
 	for z, n := range zoneUp {
-		if z != "" && n >= 4 && !cutOff && (zoneLost[z] >= 4 && zoneLost[z]*2 > n || t.hushed(z, n, up, now)) {
+		if z != "" && !cutOff && (zoneLost[z] >= 4 && zoneLost[z]*2 > n || t.hushed(z, n, up, now)) {
 			if !t.wasCut(z, now) {
 				t.log().Info("zone seems cut off", "zone", z, "silent", zoneLost[z], "of", n)
 			}
@@ -252,6 +252,7 @@
 	// from it for a while in which so many reports of its own were due, by what
 	// came from the others. (Waiting until most of its machines were overdue,
 	// the leader had returned three quarters of a large zone one by one.)
+	// Its controllers being lost as well, a quarter of that is enough.
 	hushAfter   = 1500 * time.Millisecond
 	hushReports = 12
 )
@@ -260,8 +261,12 @@
 // silent as a whole. Reports are counted, not time: when this node is slow
 // nothing comes from any zone.
 func (t *term) hushed(z wire.Zone, n, up int, now time.Time) bool {
+	need, least := hushReports, 4
+	if lost := t.lostSince(z); !lost.IsZero() && now.Sub(lost) > peer.X {
+		need, least = need/4, 2
+	}
 	h := t.heard[z]
-	return now.Sub(later(h.at, t.born)) > hushAfter && (t.reports-h.reports)*n >= hushReports*up
+	return n >= least && now.Sub(later(h.at, t.born)) > hushAfter && (t.reports-h.reports)*n >= need*up
 }
 
 // wasCut tells whether a zone seems cut off, or did so lately: its machines
--- a/internal/leader/standin.go
+++ b/internal/leader/standin.go
@@ -39,7 +39,7 @@
 		g = *own
 	}
 	ok := g.Token > 0 && g.Token == v.Token && baton <= g.Token && now.Sub(g.Sent) < l.standFor &&
-		now.Sub(v.Others[g.From].Heard) >= 2*peer.X && !l.Store.Reachable()
+		now.Sub(v.Led) >= 2*peer.X && !l.Store.Reachable()
 	return g.Token, ok
 }
 
@@ -77,14 +77,14 @@
 func (t *term) renewed(sent time.Time) {
 	t.until.Store(int64(lease(sent).Sub(t.born)))
 	if token := wire.Token(t.grants.Load()); token > 0 {
-		t.l.own.Store(&peer.Grant{From: t.l.Config.HostName, Token: token, Sent: sent})
+		t.l.own.Store(&peer.Grant{Token: token, Sent: sent})
 	}
 }
 
 // standsUntil is the latest time at which another node can answer a worker in
 // a leader's stead, or can have. One that acknowledged a beat of ours of the
-// last seconds has heard us too lately to stand in; it says itself when it did
-// last. Of one that never acknowledged our token, an earlier leader's word may
+// last seconds has heard us lead too lately to stand in, unless we did not
+// lead for a while; it says itself when it did last. Of one that never acknowledged our token, an earlier leader's word may
 // be in force: that leader's last was before this term.
 func (t *term) standsUntil(id wire.NodeID, now time.Time) time.Time {
 	o := t.l.Mesh.View().Others[id]
@@ -92,7 +92,7 @@
 	if o.AckToken < t.first {
 		at = later(at, t.born.Add(t.l.standFor))
 	}
-	if now.Sub(o.AckSent) > 3*peer.X/2 && !o.Granted.IsZero() {
+	if (now.Sub(o.AckSent) > 3*peer.X/2 || now.Sub(t.backAt) < 3*peer.X) && !o.Granted.IsZero() {
 		at = later(at, o.Granted.Add(t.l.standFor))
 	}
 	return at
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -63,8 +63,9 @@
 	heard     map[wire.Zone]heard          // what last came from each zone
 	reports   int                          // that came in, in all
 	stood     time.Time                    // when another node can last have stood in for a leader
-	blindAt   time.Time
-	acked     time.Time // when a majority first held our token
+	blindAt   time.Time                    // since when the state service is away; zero: it is not
+	backAt    time.Time                    // when it was last back
+	acked     time.Time                    // when a majority first held our token
 
 	dirty      map[*chunk]struct{} // differ from what is stored
 	closing    map[*job]struct{}   // can be archived
@@ -210,7 +211,7 @@
 	if t.deciding() {
 		if !t.blindAt.IsZero() {
 			t.log().Info("state service back", "token", t.token, "away", now.Sub(t.blindAt))
-			t.blindAt = time.Time{}
+			t.blindAt, t.backAt = time.Time{}, now
 			t.wantRound()
 		}
 	} else {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -81,7 +81,6 @@
 
 // Grant is a leader's word that this node may stand in for it.
 type Grant struct {
-	From  wire.NodeID
 	Token wire.Token
 	Sent  time.Time // when this node asked for it
 }
@@ -96,6 +95,8 @@
 	// Leader is who leads with it, if a beat said so lately.
 	Leader wire.NodeID
 	Others map[wire.NodeID]Other
+	// Led is when a node last said that it leads with that token.
+	Led time.Time
 	// Grant is the newest that this node has.
 	Grant Grant
 }
@@ -210,10 +211,10 @@
 				cur.Token, cur.Leader = e.beat.Token, ""
 			}
 			if e.ack && e.beat.Grants > 0 && e.beat.Grants == cur.Token {
-				cur.Grant = Grant{e.from, e.beat.Grants, e.sent}
+				cur.Grant, cur.Led = Grant{e.beat.Grants, e.sent}, o.Heard
 			}
 			if !e.ack && e.beat.Leads && e.beat.Token == cur.Token {
-				cur.Leader = e.from
+				cur.Leader, cur.Led = e.from, o.Heard
 			} else if !e.ack && cur.Leader == e.from {
 				cur.Leader = ""
 			}
@@ -231,7 +232,7 @@
 			}
 			cur.Others[e.from] = o
 		}
-		next := View{Token: cur.Token, Leader: cur.Leader, Grant: cur.Grant, Others: make(map[wire.NodeID]Other, len(cur.Others))}
+		next := View{Token: cur.Token, Leader: cur.Leader, Led: cur.Led, Grant: cur.Grant, Others: make(map[wire.NodeID]Other, len(cur.Others))}
 		for k, o := range cur.Others {
 			next.Others[k] = o
 		}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -25,12 +25,13 @@
 	down      map[string]bool    // hosts without power: silent
 	held      map[[2]string]bool // from, to: packets wait
 	deaf      map[string]bool    // hosts that nothing reaches, though they are heard
+	island    map[string]bool    // hosts that reach only each other
 	latency   time.Duration
 }
 
 // NewNetwork makes a network.
 func NewNetwork(latency time.Duration) *Network {
-	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, down: map[string]bool{}, held: map[[2]string]bool{}, deaf: map[string]bool{}, latency: latency}
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, down: map[string]bool{}, held: map[[2]string]bool{}, deaf: map[string]bool{}, island: map[string]bool{}, latency: latency}
 }
 
 // Host is the network as one host sees it.
@@ -102,7 +103,8 @@
 	defer cancel()
 	for {
 		n.mu.Lock()
-		silent := n.down[from] || n.down[hostOf(to)] || n.deaf[hostOf(to)] || n.held[[2]string{from, hostOf(to)}] || n.held[[2]string{hostOf(to), from}]
+		silent := n.down[from] || n.down[hostOf(to)] || n.deaf[hostOf(to)] || n.held[[2]string{from, hostOf(to)}] || n.held[[2]string{hostOf(to), from}] ||
+			n.island[from] != n.island[hostOf(to)]
 		l := n.listeners[to]
 		n.mu.Unlock()
 		if !silent {
@@ -155,7 +157,7 @@
 // arrive moves what is on its way into the buffer, unless the link is held.
 func (p *pipe) arrive() {
 	p.n.mu.Lock()
-	blocked := p.n.held[[2]string{p.from, p.to}] || p.n.down[p.to] || p.n.down[p.from] || p.n.deaf[p.to]
+	blocked := p.n.held[[2]string{p.from, p.to}] || p.n.down[p.to] || p.n.down[p.from] || p.n.deaf[p.to] || p.n.island[p.from] != p.n.island[p.to]
 	p.n.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -356,6 +358,16 @@
 	}
 }
 
+// Island makes a host one of those that reach only each other, or no more.
+func (n *Network) Island(ip string, on bool) {
+	n.mu.Lock()
+	n.island[ip] = on
+	n.mu.Unlock()
+	if !on {
+		n.flow()
+	}
+}
+
 // Cut holds up both directions.
 func (n *Network) Cut(a, b string, cut bool) {
 	n.Hold(a, b, cut)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -53,6 +53,7 @@
 	servers  []*http.Server
 	wg       sync.WaitGroup
 
+	cutZone     wire.Zone
 	cloudOut    bool
 	loseRelease int
 	loseRent    int
@@ -277,6 +278,26 @@
 	w.mu.Unlock()
 }
 
+// CutZone cuts a zone's controllers and machines off from everything else, with
+// all packets held, or lets them through again.
+func (w *World) CutZone(z wire.Zone, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cutZone = ""; on {
+		w.cutZone = z
+	}
+	for _, m := range w.machines {
+		if m.zone == z {
+			w.Net.Island(m.ip, on)
+		}
+	}
+	for i, n := range w.nodes {
+		if n.cfg.Zone == z {
+			w.Net.Island(NodeIP(i), on)
+		}
+	}
+}
+
 // LoseReleases makes the next releases take effect without an answer.
 func (w *World) LoseReleases(n int) {
 	w.mu.Lock()
@@ -423,6 +444,9 @@
 	m := &worker{w: w, id: id, ip: ip, addr: ip + ":9000", kit: kit, zone: zone, spot: spot, flavor: f, rented: time.Now(), ctx: ctx, cancel: cancel,
 		shift: 1, tasks: map[wire.Task]*run{}, cached: map[wire.ImageID]bool{}, drift: 1 + (w.rng.Float64()-0.5)*0.001, poke: make(chan struct{}, 1)}
 	w.machines[id] = m
+	if zone == w.cutZone {
+		w.Net.Island(ip, true)
+	}
 	w.spawn(func() {
 		sleep(ctx, after)
 		if ctx.Err() == nil {
--- a/troubles_test.go
+++ b/troubles_test.go
@@ -180,6 +180,107 @@
 	}
 }
 
+// A zone is cut off with its controllers for longer than a lease. They stand in
+// for the leader that they have lost, so its replicas go on; with two zones
+// those of a service that is spread could be nowhere else. It must not matter
+// whether the leader is in that zone.
+func TestZoneCutOff(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		t.Run(fmt.Sprint("leader inside ", leads), func(t *testing.T) {
+			playAs(t, sized(5), 37, func(w *standin.World, at func(time.Duration)) {
+				s, a := service(1, 4), array(2, 12, 30)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(a, 0)
+				at(45 * time.Second)
+				z := w.Config(w.Leader()).Zone
+				if !leads {
+					z = map[wire.Zone]wire.Zone{"a": "b", "b": "a"}[z]
+				}
+				w.CutZone(z, true)
+				at(78 * time.Second)
+				mustRun(t, w, s, "33 s after their zone was cut off")
+				if l := w.Leader(); l < 0 || w.Config(l).Zone == z {
+					t.Errorf("the leader is %d", l)
+				}
+				w.CutZone(z, false)
+				at(95 * time.Second)
+				mustRun(t, w, s, "when the zone is back")
+				w.Checked(func(c *standin.Checker) {
+					if c.Again() != 0 {
+						t.Errorf("%d tasks were started again", c.Again())
+					}
+				})
+				at(200 * time.Second)
+				mustFinish(t, w, a)
+			})
+		})
+	}
+}
+
+// A job is cancelled just after its zone was cut off, for longer than the time
+// for cancellations, while the cloud is away: nobody can stop its tasks, and
+// those who stand in there don't know. They must stop answering in time.
+func TestCancelledBehindACut(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		t.Run(fmt.Sprint("leader inside ", leads), func(t *testing.T) {
+			playAs(t, sized(5), 38, func(w *standin.World, at func(time.Duration)) {
+				s, gone := service(1, 4), service(2, 6)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(gone, 44*time.Second)
+				at(45 * time.Second)
+				z := w.Config(w.Leader()).Zone
+				if !leads {
+					z = map[wire.Zone]wire.Zone{"a": "b", "b": "a"}[z]
+				}
+				w.CloudOutage(true)
+				w.CutZone(z, true)
+				at(115 * time.Second)
+				w.Checked(func(c *standin.Checker) {
+					if n := c.On(gone.Spec.ID); n != 0 {
+						t.Errorf("%d tasks of the cancelled job run behind the cut", n)
+					}
+				})
+				w.CutZone(z, false)
+				w.CloudOutage(false)
+				at(160 * time.Second)
+				mustRun(t, w, s, "when all is over")
+			})
+		})
+	}
+}
+
+// The leader ends in an outage of the state service that outlasts a lease. The
+// others stand in for it; before, every replica was lost.
+func TestLeaderEndsInALongOutage(t *testing.T) {
+	playAs(t, sized(5), 39, func(w *standin.World, at func(time.Duration)) {
+		s, a := service(1, 4), array(2, 8, 50)
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		w.Submit(a, 0)
+		at(40 * time.Second)
+		w.State.Outage(true)
+		at(44 * time.Second)
+		l := w.Leader()
+		w.Kill(l)
+		at(50 * time.Second)
+		w.Up(l)
+		at(70 * time.Second)
+		mustRun(t, w, s, "30 s into the outage")
+		w.State.Outage(false)
+		at(90 * time.Second)
+		mustRun(t, w, s, "after the outage")
+		w.Checked(func(c *standin.Checker) {
+			if c.Again() != 0 {
+				t.Errorf("%d tasks were started again", c.Again())
+			}
+		})
+		at(200 * time.Second)
+		mustFinish(t, w, a)
+	})
+}
+
 // A user's connection is at a node that the state service refuses while it
 // serves others: the node says so at once and leaves the load balancer's set.
 func TestUserAtANodeThatCannotAnswer(t *testing.T) {
