--- a/internal/leader/standin_test.go
+++ b/internal/leader/standin_test.go
@@ -102,7 +102,7 @@
 			}
 		}
 		watch(40*time.Second, none)
-if n := returned("a"); n != 0 || tm.wasCut("a", time.Now()) {
+		if n := returned("a"); n != 0 || tm.wasCut("a", time.Now()) {
 			t.Errorf("%d machines are returned when the zone is back, cut off: %v", n, tm.wasCut("a", time.Now()))
 		}
 	})
