--- a/internal/leader/standin.go
+++ b/internal/leader/standin.go
@@ -84,15 +84,16 @@
 // standsUntil is the latest time at which another node can answer a worker in
 // a leader's stead, or can have. One that acknowledged a beat of ours of the
 // last seconds has heard us lead too lately to stand in, unless we did not
-// lead for a while; it says itself when it did last. Of one that never acknowledged our token, an earlier leader's word may
+// lead for a while; it says itself when it did last, and if that was just now
+// it may be at it still. Of one that never acknowledged our token, an earlier leader's word may
 // be in force: that leader's last was before this term.
-func (t *term) standsUntil(id wire.NodeID, now time.Time) time.Time {
-	o := t.l.Mesh.View().Others[id]
+func (t *term) standsUntil(o peer.Other, now time.Time) time.Time {
 	at := o.Stood
 	if o.AckToken < t.first {
 		at = later(at, t.born.Add(t.l.standFor))
 	}
-	if (now.Sub(o.AckSent) > 3*peer.X/2 || now.Sub(t.backAt) < 3*peer.X) && !o.Granted.IsZero() {
+	lost := now.Sub(o.AckSent) > 3*peer.X/2 || now.Sub(o.Stood) < 3*peer.X || now.Sub(t.backAt) < 3*peer.X
+	if lost && !o.Granted.IsZero() {
 		at = later(at, o.Granted.Add(t.l.standFor))
 	}
 	return at
@@ -104,8 +105,9 @@
 	if t.l.standFor == 0 {
 		return at
 	}
+	v := t.l.Mesh.View()
 	for _, o := range t.l.Config.Others {
-		at = later(at, t.standsUntil(o.HostName, now))
+		at = later(at, t.standsUntil(v.Others[o.HostName], now))
 	}
 	return at
 }
--- a/internal/leader/standin_test.go
+++ b/internal/leader/standin_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lilaclead/internal/config"
+	"lilaclead/internal/peer"
 	"lilaclead/internal/wire"
 )
 
@@ -107,3 +108,33 @@
 		}
 	})
 }
+
+// When another node can have answered a worker last, as a leader must count it
+// before it takes a lease for run out.
+func TestStandsUntil(t *testing.T) {
+	tm, _, _ := rig(t)
+	now := time.Now()
+	tm.l.standFor = 20 * time.Second
+	tm.born = now.Add(-time.Minute)
+	ago := func(s float64) time.Time { return now.Add(-time.Duration(s * float64(time.Second))) }
+	cases := []struct {
+		name string
+		o    peer.Other
+		back time.Time
+		want time.Time
+	}{
+		{"in touch, never stood in", peer.Other{AckSent: ago(1), AckToken: 50, Granted: ago(0.5)}, time.Time{}, time.Time{}},
+		{"in touch, stood in a while ago", peer.Other{AckSent: ago(1), AckToken: 50, Granted: ago(0.5), Stood: ago(12)}, time.Time{}, ago(12)},
+		{"in touch, and perhaps still at it", peer.Other{AckSent: ago(1), AckToken: 50, Granted: ago(15), Stood: ago(1)}, time.Time{}, ago(-5)},
+		{"lost after our word", peer.Other{AckSent: ago(10), AckToken: 50, Granted: ago(9)}, time.Time{}, ago(-11)},
+		{"never heard in this term: an earlier leader's word", peer.Other{AckSent: ago(90), AckToken: 40}, time.Time{}, ago(40)},
+		{"fresh, acknowledges nothing yet", peer.Other{AckSent: ago(1)}, time.Time{}, ago(40)},
+		{"in touch, but we did not lead until now", peer.Other{AckSent: ago(1), AckToken: 50, Granted: ago(7)}, ago(2), ago(-13)},
+	}
+	for _, c := range cases {
+		tm.backAt = c.back
+		if got := tm.standsUntil(c.o, now); !got.Equal(c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got.Sub(now), c.want.Sub(now))
+		}
+	}
+}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -40,7 +40,7 @@
 		protocols.SetUnencryptedHTTP2(true)
 		var servers []*http.Server
 		node := func(name, other wire.NodeID, ip, otherIP string, leads bool) *Mesh {
-			m := New(name, []config.Other{{HostName: other, Addr: otherIP + ":1"}}, func() Self { return Self{Leads: leads, Serves: true} }, nw.Host(ip), log)
+			m := New(name, []config.Other{{HostName: other, Addr: otherIP + ":1"}}, func() Self { return Self{Leads: leads, Grants: map[bool]wire.Token{true: 7}[leads], Serves: true} }, nw.Host(ip), log)
 			l, err := nw.Host(ip).Listen("tcp4", ip+":1")
 			if err != nil {
 				t.Fatal(err)
@@ -64,8 +64,22 @@
 		if v := b.View(); v.Token != 7 || v.Leader != "a" {
 			t.Errorf("b knows token %d, leader %q", v.Token, v.Leader)
 		}
+		// The leader's word reaches the other, counted from its asking, and only
+		// under the token that both know; who stood in says so.
+		if g := b.View().Grant; g.Token != 7 || time.Since(g.Sent) > time.Second || a.View().Others["b"].Granted.Before(g.Sent) || !a.View().Others["b"].Stood.IsZero() {
+			t.Errorf("word %+v, given %v", g, a.View().Others["b"].Granted)
+		}
+		b.StandsIn()
+		at := time.Now()
+		time.Sleep(time.Second)
+		if stood := a.View().Others["b"].Stood; stood.Before(at) || stood.After(at.Add(100*time.Millisecond)) {
+			t.Errorf("b stood in at %v, a knows of %v", at, stood)
+		}
 		b.Raise(ctx, 9)
 		time.Sleep(time.Second)
+		if g := b.View().Grant; g.Token != 7 || time.Since(g.Sent) < 900*time.Millisecond {
+			t.Errorf("word under an older token is renewed: %+v", g)
+		}
 		if got := a.View().AckedUntil(7, 1); got.After(time.Now()) || a.View().Token != 9 {
 			t.Errorf("the lower token still counts until %v", got)
 		}
