--- a/troubles_test.go
+++ b/troubles_test.go
@@ -281,6 +281,62 @@
 	})
 }
 
+// All controllers end within a burst while the state service is just back; the
+// first is up again within a moment, and all end once more in the middle of its
+// election, while copies of old reports come in and submissions are repeated.
+// The replicas must outlive it, and nothing may run twice or be forgotten.
+func TestAllEndAgainInTheElection(t *testing.T) {
+	playAs(t, sized(5), 40, func(w *standin.World, at func(time.Duration)) {
+		all := func(f func(i int)) {
+			for i := range 5 {
+				f(i)
+			}
+		}
+		up := func(i int) {
+			if err := w.Up(i); err != nil {
+				t.Error(err)
+			}
+		}
+		s, burst := service(1, 4), []standin.Truth{}
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		at(40 * time.Second)
+		for n := range 12 {
+			burst = append(burst, array(10+n, 6, 20))
+			w.Submit(burst[n], 0)
+		}
+		for _, id := range w.Holds(s.Spec.ID) {
+			w.Copy(id, 3*time.Second, 8*time.Second, 12*time.Second, 25*time.Second)
+		}
+		w.State.Outage(true)
+		at(46 * time.Second)
+		w.State.Outage(false)
+		all(w.Kill)
+		at(46300 * time.Millisecond)
+		up(0)
+		at(47 * time.Second)
+		up(1)
+		at(49500 * time.Millisecond) // about when the last leader's grant ends
+		all(w.Kill)
+		at(49700 * time.Millisecond)
+		all(up)
+		at(58 * time.Second)
+		if l := w.Leader(); l < 0 {
+			t.Error("nobody leads 8 s after the last end")
+		}
+		for _, j := range burst {
+			if status, _, _ := w.Ask(3, "POST", "/v1/jobs", standin.Submission(j.Spec)); status != 200 && status != 201 && status != 503 {
+				t.Errorf("repeated submission answered %d", status)
+			}
+		}
+		at(70 * time.Second)
+		mustRun(t, w, s, "after all that")
+		w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+		at(240 * time.Second)
+		mustFinish(t, w, burst...)
+	})
+}
+
 // A user's connection is at a node that the state service refuses while it
 // serves others: the node says so at once and leaves the load balancer's set.
 func TestUserAtANodeThatCannotAnswer(t *testing.T) {
