--- a/troubles_test.go
+++ b/troubles_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -337,6 +340,58 @@
 	})
 }
 
+// Seeded cuts of a zone, from seconds to well over a lease and the time for
+// cancellations, with the cloud or the state service away, leaders that end and
+// jobs that are cancelled meanwhile. WORLD_SEEDS asks for more of them.
+func TestSeededCuts(t *testing.T) {
+	most, _ := strconv.Atoi(os.Getenv("WORLD_SEEDS"))
+	for seed := range uint64(max(6, most)) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 2))
+			playAs(t, sized(5), 300+seed, func(w *standin.World, at func(time.Duration)) {
+				seconds := func(most int) time.Duration { return time.Duration(rng.IntN(1000*most)) * time.Millisecond }
+				s, all := service(1, 4), []standin.Truth{}
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				for n := range 30 {
+					j := array(10+n, 1+rng.IntN(8), float64(5+rng.IntN(30)))
+					cancel := time.Duration(0)
+					if rng.IntN(3) == 0 {
+						cancel = time.Second + seconds(40)
+					} else {
+						all = append(all, j)
+					}
+					at(time.Duration(3+5*n)*time.Second + seconds(5))
+					w.Submit(j, cancel)
+					if n%10 != 7 {
+						continue
+					}
+					z := []wire.Zone{"a", "b"}[rng.IntN(2)]
+					w.CutZone(z, true)
+					time.Sleep(seconds(6))
+					cloud, state, leader := rng.IntN(2) == 0, rng.IntN(3) == 0, rng.IntN(2) == 0
+					w.CloudOutage(cloud)
+					w.State.Outage(state)
+					if l := w.Leader(); leader && l >= 0 {
+						w.Kill(l)
+						time.Sleep(seconds(6))
+						w.Up(l)
+					}
+					time.Sleep(seconds(20))
+					w.State.Outage(false)
+					time.Sleep(seconds(50))
+					w.CutZone(z, false)
+					time.Sleep(seconds(10))
+					w.CloudOutage(false)
+				}
+				time.Sleep(150 * time.Second)
+				mustFinish(t, w, all...)
+				mustRun(t, w, s, "when all is over")
+			})
+		})
+	}
+}
+
 // A user's connection is at a node that the state service refuses while it
 // serves others: the node says so at once and leaves the load balancer's set.
 func TestUserAtANodeThatCannotAnswer(t *testing.T) {
