Connections to workers that are still being opened count in their share of the sockets

Cause: a request that is given up leaves its connection being opened for up to two seconds; with a zone cut off these came on top of the share.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -97,7 +97,7 @@
 		Deps:   d,
 		nonce:  rand.Text(),
 		turned: make(chan wire.MachineID, 64), standFor: standFor(d.Config.Settings.Workers),
-		direct: &http.Client{Transport: d.Net.Transport(2, max(4, d.Sockets/2))},
+		direct: &http.Client{Transport: d.Net.Bounded(max(16, d.Sockets), 2*probeTimeout).Transport(2, max(4, d.Sockets/2))},
 		lines:  make(chan struct{}, max(4, d.Sockets/3)), asks: make(chan struct{}, max(2, d.Sockets/6)),
 	}
 }
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"lilaclead/internal/wire"
@@ -24,6 +25,40 @@
 	return Net{Dial: d.DialContext, Listen: net.Listen}
 }
 
+// Bounded is the network with at most so many connections to others at a time,
+// those included that are still being opened: a client's requests may be given
+// up long before the network gives up on their connections.
+func (n Net) Bounded(most int, within time.Duration) Net {
+	slots := make(chan struct{}, most)
+	dial := n.Dial
+	n.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+		}
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			<-slots
+			return nil, err
+		}
+		return &slotConn{Conn: c, free: sync.OnceFunc(func() { <-slots })}, nil
+	}
+	return n
+}
+
+type slotConn struct {
+	net.Conn
+	free func()
+}
+
+func (c *slotConn) Close() error {
+	defer c.free()
+	return c.Conn.Close()
+}
+
 // Transport is an HTTP/1.1 transport over the network with a bound on the
 // connections to one host.
 func (n Net) Transport(perHost, idle int) *http.Transport {
