--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -164,7 +164,7 @@
 	report := t.set.Workers.ReportS.Duration()
 	silentAfter := report*5/4 + 600*time.Millisecond
 	lostAfter := silentAfter + 2*probeTimeout
-	up, silent, lost, relayed, deaf := 0, 0, 0, 0, 0
+	up, silent, lost, relayed, deaf, serving, quietServing := 0, 0, 0, 0, 0, 0, 0
 	zoneUp, zoneLost := map[wire.Zone]int{}, map[wire.Zone]int{}
 	for _, m := range t.machines {
 		if m.booting || m.releasing {
@@ -181,6 +181,11 @@
 		if t.silence(m, now) > silentAfter {
 			silent++
 		}
+		if t.serves(m) {
+			if serving++; t.silence(m, now) > askServing+2*probeTimeout {
+				quietServing++
+			}
+		}
 		if t.silence(m, now) > lostAfter {
 			lost++
 			zoneLost[m.zone]++
@@ -210,6 +215,10 @@
 			t.cutAt[z] = now
 		}
 	}
+	// A machine with replicas is not left alone for as long as reports may take:
+	// the replicas of one that has stopped are down until that is known. When
+	// many such are quiet it is rather the way to them.
+	fewQuiet := quietServing <= max(3, serving/4)
 	for _, m := range t.machines {
 		// Where the cut is over the machines need a while to be heard again.
 		cut := t.wasCut(m.zone, now)
@@ -223,7 +232,13 @@
 		// Before the first list nothing is known of a machine that an earlier
 		// leader used and that has not reported, not even its zone.
 		unknown := m.zone == "" && !t.listed
-		t.watchMachine(m, now, silentAfter, lostAfter, cutOff || unknown || cut && quiet < max(lease*5/2, t.set.Workers.CancelS.Duration()*2))
+		ask, gone := silentAfter, lostAfter
+		if t.serves(m) {
+			if ask = min(ask, askServing); fewQuiet {
+				gone = min(gone, ask+3*probeTimeout)
+			}
+		}
+		t.watchMachine(m, now, ask, gone, cutOff || unknown || cut && quiet < max(lease*5/2, t.set.Workers.CancelS.Duration()*2))
 		if deaf <= max(3, up/4) {
 			t.watchHearing(m, now)
 		}
@@ -292,6 +307,20 @@
 	return t.wasCut(m.zone, now) && m.seenAt.Before(t.cutAt[m.zone])
 }
 
+// askServing is how long a machine with replicas may be silent before it is
+// asked itself, where reports come more rarely than that.
+const askServing = 4 * time.Second
+
+// serves tells whether a machine holds replicas of services.
+func (t *term) serves(m *machine) bool {
+	for _, a := range m.tasks {
+		if a.job.spec.Service() {
+			return true
+		}
+	}
+	return false
+}
+
 // movable tells whether a machine in a zone that is cut off holds replicas that
 // could be started elsewhere before long: their leases end about now, as no
 // controller in the zone can stand in any more, and other zones may have all
--- a/internal/leader/standin_test.go
+++ b/internal/leader/standin_test.go
@@ -138,3 +138,53 @@
 		}
 	}
 }
+
+// With reports every ten seconds a machine with replicas that has stopped is
+// known lost after some eight seconds, not after sixteen like others; but when
+// many such are quiet at once it is rather the way to them.
+func TestServingMachineIsMissedSoon(t *testing.T) {
+	for _, many := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			tm := sized(t, 60)
+			var serving, other *machine
+			silent := map[*machine]bool{}
+			for _, m := range tm.machines {
+				switch {
+				case !tm.serves(m):
+					other = m
+				case many && len(silent) < 10 || serving == nil:
+					serving = m
+					silent[m] = true
+				}
+			}
+			silent[other] = true
+			begin := time.Now()
+			watch := func(until time.Duration) {
+				for time.Since(begin) < until {
+					time.Sleep(500 * time.Millisecond)
+					for _, m := range tm.machines {
+						if silent[m] {
+							m.probes, m.lostToPeer = 2, true
+						} else {
+							m.seenAt = time.Now()
+						}
+					}
+					tm.watchMachines(time.Now())
+				}
+			}
+			defer tm.end("the test is over")
+			watch(6 * time.Second)
+			if serving.releasing {
+				t.Error("returned after 6 s")
+			}
+			watch(9 * time.Second)
+			if serving.releasing == many || other.releasing {
+				t.Errorf("%d silent: after 9 s the one with replicas is returned: %v, the other: %v", len(silent), serving.releasing, other.releasing)
+			}
+			watch(17 * time.Second)
+			if !serving.releasing || !other.releasing {
+				t.Errorf("%d silent: after 17 s returned: %v, %v", len(silent), serving.releasing, other.releasing)
+			}
+		})
+	}
+}
