One mark of standing in, one split of the sockets, one count by zone: a clean-up

Two marks of when a node last stood in (one by the time of day) are one, by the steady clock; the sockets are split once and not at two places of the start; three loops that counted a job's tasks by zone call one; tests share the choice of a zone. No behaviour changes.

--- a/door.go
+++ b/door.go
@@ -84,11 +84,11 @@
 	log   *slog.Logger
 	freed chan struct{}
 
-	mu    sync.Mutex
-	open  int
-	idle  [kinds]*list.List // of *doorConn, the longest idle first
-	shut  int               // closed to make room, since it was last said
-	saidA time.Time
+	mu     sync.Mutex
+	open   int
+	idle   [kinds]*list.List // of *doorConn, the longest idle first
+	shut   int               // closed to make room, since it was last said
+	saidAt time.Time
 }
 
 func newDoor(l net.Listener, most int, log *slog.Logger) *door {
@@ -135,9 +135,9 @@
 	}
 	if out != nil {
 		d.shut++
-		if now := time.Now(); now.Sub(d.saidA) > 10*time.Second {
+		if now := time.Now(); now.Sub(d.saidAt) > 10*time.Second {
 			d.log.Info("connections are at their limit; idle ones make room", "limit", d.most, "closed", d.shut)
-			d.saidA, d.shut = now, 0
+			d.saidAt, d.shut = now, 0
 		}
 	}
 	d.mu.Unlock()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -84,11 +84,9 @@
 	// shunned: until when this node leaves the office to others.
 	shunned time.Time
 	// standFor is how long this node may stand in for a leader that it has
-	// lost; own is its word to itself, from when it led, and stoodAt when it
-	// last stood in.
+	// lost; own is its word to itself, from when it led.
 	standFor time.Duration
 	own      atomic.Pointer[peer.Grant]
-	stoodAt  atomic.Int64
 }
 
 // New makes the leader's part of a node.
@@ -170,7 +168,7 @@
 	if t == nil || !t.answering() {
 		l.Metrics.Report("elsewhere")
 		if lead := l.leads(time.Now()); lead != "" {
-			if !l.stoodLately(time.Now()) && l.relay(r.Context(), w, lead, &rep) {
+			if !l.stoodLately() && l.relay(r.Context(), w, lead, &rep) {
 				return
 			}
 			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: lead})
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -343,11 +343,7 @@
 		if !a.job.spec.Apart {
 			return true
 		}
-		held := map[wire.Zone]int{}
-		for _, o := range a.job.attempts() {
-			held[o.m.zone]++
-		}
-		room := 0
+		held, room := a.job.zones(), 0
 		for _, z := range t.set.Zones {
 			if z != m.zone && !t.wasCut(z, now) {
 				room += a.job.spec.ZoneCap() - held[z]
@@ -761,10 +757,7 @@
 		d.Dear = t.dearer(j, waits[j], now)
 		if j.spec.Apart || j.spec.SamePlace {
 			d.ZoneLeft = map[wire.Zone]int{}
-			held := map[wire.Zone]int{}
-			for _, a := range j.attempts() {
-				held[a.m.zone]++
-			}
+			held := j.zones()
 			for _, z := range t.set.Zones {
 				d.ZoneLeft[z] = max(0, j.spec.ZoneCap()-held[z])
 				if j.spec.SamePlace && j.held > 0 && held[z] == 0 {
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -238,13 +238,8 @@
 			pj.Pending = min(pj.Pending, max(1, 2-j.held)) // try a suspect job with little
 		}
 		if j.spec.Apart || j.spec.SamePlace {
-			unknown := 0
-			for _, a := range j.attempts() {
-				if a.m.zone == "" {
-					unknown++
-				}
-				pj.ZoneHeld[a.m.zone]++
-			}
+			pj.ZoneHeld = j.zones()
+			unknown := pj.ZoneHeld[""]
 			if unknown > 0 && j.spec.SamePlace {
 				continue // where its tasks are is not known yet
 			}
--- a/internal/leader/standin.go
+++ b/internal/leader/standin.go
@@ -49,7 +49,6 @@
 		return nil
 	}
 	l.Mesh.StandsIn()
-	l.stoodAt.Store(time.Now().UnixNano())
 	token, ok := l.mayStandIn(rep.Baton) // again, now that others can know
 	if !ok {
 		return nil
@@ -59,9 +58,9 @@
 
 // stoodLately tells whether workers stayed with this node because it stood in:
 // they are not cut off from the leader that is back.
-func (l *Leader) stoodLately(now time.Time) bool {
-	at := l.stoodAt.Load()
-	return at > 0 && now.Sub(time.Unix(0, at)) < 2*l.Config.Settings.Workers.ReportS.Duration()+2*peer.X
+func (l *Leader) stoodLately() bool {
+	ago := l.Mesh.Stood()
+	return ago > 0 && ago < 2*l.Config.Settings.Workers.ReportS.Duration()+2*peer.X
 }
 
 // Grants is the token with which this node surely leads, 0 if it does not.
@@ -85,8 +84,8 @@
 // a leader's stead, or can have. One that acknowledged a beat of ours of the
 // last seconds has heard us lead too lately to stand in, unless we did not
 // lead for a while; it says itself when it did last, and if that was just now
-// it may be at it still. Of one that never acknowledged our token, an earlier leader's word may
-// be in force: that leader's last was before this term.
+// it may be at it still. Of one that never acknowledged our token, an earlier
+// leader's word may be in force: that leader's last was before this term.
 func (t *term) standsUntil(o peer.Other, now time.Time) time.Time {
 	at := o.Stood
 	if o.AckToken < t.first {
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -463,6 +463,16 @@
 	return out
 }
 
+// zones counts what may be on machines by zone; what is on a machine of an
+// unknown zone counts under none.
+func (j *job) zones() map[wire.Zone]int {
+	n := map[wire.Zone]int{}
+	for _, a := range j.attempts() {
+		n[a.m.zone]++
+	}
+	return n
+}
+
 // eachPending calls f for up to n pending tasks.
 func (j *job) eachPending(n int, f func(c *chunk, index int)) {
 	for ci := j.from; ci < len(j.chunks); ci++ {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -156,6 +156,14 @@
 // then made before the look, which sees that beat.
 func (m *Mesh) StandsIn() { m.stood.Store(max(1, int64(time.Since(m.born)))) }
 
+// Stood is how long ago this node last stood in for a leader; 0: never.
+func (m *Mesh) Stood() time.Duration {
+	if at := m.stood.Load(); at > 0 {
+		return max(1, time.Since(m.born)-time.Duration(at))
+	}
+	return 0
+}
+
 // AckedUntil is until when an acknowledgement of the token by so many nodes,
 // this one included, is young enough to count; zero if it never was.
 func (v *View) AckedUntil(t wire.Token, nodes int) time.Time {
@@ -226,9 +234,7 @@
 				if g := m.self().Grants; g > 0 && g == cur.Token {
 					answer.Grants, o.Granted = g, time.Now()
 				}
-				if at := m.stood.Load(); at > 0 {
-					answer.Stood = max(1, time.Since(m.born)-time.Duration(at))
-				}
+				answer.Stood = m.Stood()
 			}
 			cur.Others[e.from] = o
 		}
--- a/node.go
+++ b/node.go
@@ -51,6 +51,7 @@
 	flavors *leader.FlavorBox
 	tuning  *tuning.Box
 	admin   *admin.Admin
+	sockets sockets
 }
 
 // Options of a node; the zero value is the machine's own network and standard
@@ -81,7 +82,7 @@
 	n.mesh = peer.New(cfg.HostName, cfg.Others, func() peer.Self {
 		return peer.Self{Leads: n.leader.Leads(), Grants: n.leader.Grants(), Serves: n.store.Reachable(), Hears: n.leader.Hears()}
 	}, n.net, n.log)
-	split := splitSockets(set.Limits, set.Size)
+	n.sockets = splitSockets(set.Limits, set.Size)
 	met := admin.NewMetrics()
 	n.store.Observe = met.Call("state")
 	n.cloud.Observe = met.Call("cloud")
@@ -89,7 +90,7 @@
 	met.Budget("state changes", func() float64 { _, writes := n.store.Left(); return writes })
 	n.leader = leader.New(leader.Deps{
 		Config: cfg, Net: n.net, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: met.Leader(),
-		Sockets: split.direct, Workers: split.workers(), Needed: func(workers int) int { return needed(workers, set.Limits, set.Size) },
+		Sockets: n.sockets.direct, Workers: n.sockets.workers(), Needed: func(workers int) int { return needed(workers, set.Limits, set.Size) },
 	})
 	n.intake = intake.New(set, n.store, n.flavors.Get, n.log)
 	n.intake.Observe = met.Request
@@ -131,7 +132,7 @@
 		front.Close()
 		return fmt.Errorf("peer_bind: %w", err)
 	}
-	split := splitSockets(lim, n.cfg.Settings.Size)
+	split := n.sockets
 	n.log.Info("sockets", "limit", lim.FDLimit, "split", split, "workers_alone", split.workers())
 	if split.memoryNeeded > lim.MemoryMB {
 		n.log.Warn("memory_mb is too small for fd_limit: fewer connections are accepted", "memory_mb", lim.MemoryMB, "needed", int(split.memoryNeeded))
--- a/troubles_test.go
+++ b/troubles_test.go
@@ -21,6 +21,14 @@
 	return s
 }
 
+// leadersZone is the zone that the leader is in, or the other one of two.
+func leadersZone(w *standin.World, in bool) wire.Zone {
+	if (w.Config(w.Leader()).Zone == "a") == in {
+		return "a"
+	}
+	return "b"
+}
+
 // mustRun checks that all replicas of a service run.
 func mustRun(t *testing.T, w *standin.World, s standin.Truth, when string) {
 	t.Helper()
@@ -196,10 +204,7 @@
 				w.Submit(s, 0)
 				w.Submit(a, 0)
 				at(45 * time.Second)
-				z := w.Config(w.Leader()).Zone
-				if !leads {
-					z = map[wire.Zone]wire.Zone{"a": "b", "b": "a"}[z]
-				}
+				z := leadersZone(w, leads)
 				w.CutZone(z, true)
 				at(78 * time.Second)
 				mustRun(t, w, s, "33 s after their zone was cut off")
@@ -233,10 +238,7 @@
 				w.Submit(s, 0)
 				w.Submit(gone, 44*time.Second)
 				at(45 * time.Second)
-				z := w.Config(w.Leader()).Zone
-				if !leads {
-					z = map[wire.Zone]wire.Zone{"a": "b", "b": "a"}[z]
-				}
+				z := leadersZone(w, leads)
 				w.CloudOutage(true)
 				w.CutZone(z, true)
 				at(115 * time.Second)
