--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -57,6 +57,7 @@
 	drain      string // why it takes nothing new; empty: it does
 	releasing  bool
 	cordoned   bool // see fleet.Plan
+	claims     []claim
 	fullUntil  time.Time
 	errs       map[wire.JobID]bool // jobs that failed here in a row
 	errCount   int
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -27,9 +27,18 @@
 	for _, st := range res.Starts {
 		t.start(js[st.Job], ms[st.Machine], now)
 	}
+	for _, c := range res.Clears {
+		m := t.machines[c.On]
+		m.claims = append(m.claims, claim{c.Claim, now.Add(t.haltBy(0))})
+		t.claimed[m] = struct{}{}
+	}
 	for _, v := range res.Halts {
 		if a := t.attempt(v.Task); a != nil {
 			t.halt(a, windDownOf(a.job), "makes room")
+			for i := range a.m.claims { // it may take that long to save
+				c := &a.m.claims[i]
+				c.until = later(c.until, now.Add(t.haltBy(a.windDown)))
+			}
 		}
 	}
 	t.roundTook = time.Since(now)
@@ -45,6 +54,39 @@
 	return j.chunks[task.Index/store.ChunkSize].holds[task.Index%store.ChunkSize]
 }
 
+// claim is room that is being made on a machine, and until when it is kept.
+type claim struct {
+	placement.Claim
+	until time.Time
+}
+
+// claims drops what is no longer claimed, since it took too long or the job's
+// tasks found room elsewhere, and counts for how many units of each job room is
+// being made.
+func (t *term) claims(now time.Time) map[wire.JobID]int {
+	n := map[wire.JobID]int{}
+	for m := range t.claimed {
+		m.claims = slices.DeleteFunc(m.claims, func(c claim) bool {
+			j := t.jobs[c.Job]
+			if now.After(c.until) || m.releasing || m.drain != "" || j == nil || j.cancelled || n[c.Job] >= j.pending() {
+				return true
+			}
+			n[c.Job]++
+			return false
+		})
+		if len(m.claims) == 0 {
+			delete(t.claimed, m)
+		}
+	}
+	return n
+}
+
+// haltBy is how long a task that is told to stop takes to be gone, even if only
+// the answer to its machine's next report tells it.
+func (t *term) haltBy(windDown wire.Seconds) time.Duration {
+	return windDown.Duration() + report(t)*5/4 + 2*time.Second
+}
+
 // windDownOf is how long a task of the job is given to save.
 func windDownOf(j *job) wire.Seconds {
 	if j.spec.SnapshotEveryS > 0 {
@@ -64,6 +106,9 @@
 		c.next++
 		c.plans++
 		c.hold(a)
+		if i := slices.IndexFunc(m.claims, func(c claim) bool { return c.Job == j.spec.ID }); i >= 0 {
+			m.claims = slices.Delete(m.claims, i, i+1)
+		}
 		t.mark(c)
 		t.log().Debug("starts", "task", a.task(), "try", a.try, "machine", m.id, "waited", now.Sub(j.at))
 	})
@@ -177,23 +222,31 @@
 		return u != nil && (u.Used.CPUs > team.CPUs+wire.Eps || u.Used.Cards > team.GPUs+wire.Eps)
 	}
 	preempts := slices.ContainsFunc(js, func(j *job) bool { return placement.MayPreempt(&j.spec) })
+	claims := t.claims(now)
 	view := func(m *machine) placement.Machine {
 		pm := placement.Machine{ID: m.id, Kit: m.kit, Zone: m.zone, Spot: m.spot, Total: t.total(m), Free: t.free(m), Cordoned: m.cordoned,
 			Images: make(map[wire.ImageID]placement.Image, len(m.images.has)+len(m.tasks))}
 		if f := t.flavor(m.kit); f != nil {
 			pm.PullRate = f.PullGBPerS
 		}
+		for _, c := range m.claims {
+			pm.Claims = append(pm.Claims, c.Claim)
+		}
 		for _, a := range m.tasks {
 			if a.job.spec.Service() {
 				pm.Services++
 			}
+			// What does not end is no room to count on.
+			if a.halting && !a.planned && now.Sub(a.haltAt) < t.haltBy(a.windDown) {
+				pm.Stopping = pm.Stopping.Plus(a.res())
+			}
 			if a.ready.IsZero() && pm.Images[a.job.spec.Bundle] == placement.Absent {
 				pm.Images[a.job.spec.Bundle] = placement.Fetching
 				if _, has := m.images.has[a.job.spec.Bundle]; !has {
 					pm.PullGB += a.job.spec.ImageGB
 				}
 			}
-			if !preempts || a.planned || a.job.spec.Service() && a.job.spec.Urgency == wire.Prod {
+			if !preempts || a.planned || a.halting || a.job.spec.Service() && a.job.spec.Urgency == wire.Prod {
 				continue
 			}
 			lost := 0.0
@@ -204,7 +257,7 @@
 				}
 			}
 			pm.Victims = append(pm.Victims, placement.Victim{Task: a.task(), Rank: a.job.spec.Urgency.Rank(), Takes: a.res(),
-				Lost: lost, Beyond: beyond(a.job), Team: a.job.spec.Owner, Stopped: a.halting})
+				Lost: lost, Beyond: beyond(a.job), Team: a.job.spec.Owner})
 		}
 		slices.SortFunc(pm.Victims, func(a, b placement.Victim) int {
 			return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), a.Task.Index-b.Task.Index)
@@ -230,7 +283,7 @@
 	kept := js[:0]
 	for _, j := range js {
 		pj := placement.Job{Spec: &j.spec, Pending: j.pending(), ZoneHeld: map[wire.Zone]int{},
-			WaitedS: now.Sub(j.at).Seconds(), Avoid: j.failedOn, Guaranteed: sure[j.spec.ID], Weight: t.weight(j, sure[j.spec.ID], now)}
+			WaitedS: now.Sub(j.at).Seconds(), Avoid: j.failedOn, Guaranteed: sure[j.spec.ID], Claims: claims[j.spec.ID], Weight: t.weight(j, sure[j.spec.ID], now)}
 		if t.starves(j, now) {
 			pj.Pending, pj.Weight = 1, starvingWeight
 		}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -74,6 +74,7 @@
 	bookAt     time.Time // when bookkeeping may be written again
 	raiseAt    time.Time
 	wantRaise  bool
+	claimed    map[*machine]struct{} // on which room is being made
 	roundWant  bool
 	lastRound  time.Time
 	roundAfter time.Time
@@ -90,6 +91,7 @@
 		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{},
 		machines: map[wire.MachineID]*machine{}, gone: map[wire.MachineID]time.Time{},
 		cutAt: map[wire.Zone]time.Time{}, heard: map[wire.Zone]heard{}, dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
+		claimed: map[*machine]struct{}{},
 	}
 	t.until.Store(int64(o.until.Sub(o.at)))
 	t.fleet.init()
@@ -563,6 +565,7 @@
 	helloTally wire.Tally
 
 	halting  bool
+	haltAt   time.Time // since when
 	windDown wire.Seconds
 	haltSent time.Time
 	haltWhy  string
@@ -638,6 +641,9 @@
 	if a.halting && a.windDown <= windDown {
 		return
 	}
+	if !a.halting {
+		a.haltAt = time.Now()
+	}
 	a.halting, a.windDown, a.haltWhy, a.haltSent = true, windDown, why, time.Time{}
 	if why != "cancelled" {
 		t.log().Info("stops", "task", a.task(), "try", a.try, "machine", a.m.id, "why", why)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -66,13 +66,12 @@
 
 // Victim is a task that could be stopped to make room.
 type Victim struct {
-	Task    wire.Task
-	Rank    int
-	Takes   Res
-	Lost    float64 // run time that would be repeated, seconds
-	Beyond  bool    // its team runs beyond its own guarantee
-	Team    wire.TeamID
-	Stopped bool // is being stopped already
+	Task   wire.Task
+	Rank   int
+	Takes  Res
+	Lost   float64 // run time that would be repeated, seconds
+	Beyond bool    // its team runs beyond its own guarantee
+	Team   wire.TeamID
 }
 
 // Machine that can take tasks.
@@ -89,7 +88,47 @@
 	Images   map[wire.ImageID]Image
 	Victims  []Victim
 	Cordoned bool // takes tasks of arrays only when no other machine can
-	kept     int  // units of spare room kept here in this round
+	// Claims is room that is being made here, Stopping what the tasks take that
+	// are being stopped. Until a claim is used nothing of its rank or below
+	// takes that room. (Two tasks of two processors were stopped for one of
+	// four; they ended one after the other, and each time another of two took
+	// the half that was free. One day stopped 84,361 tasks that way.)
+	Claims   []Claim
+	Stopping Res
+	kept     int // units of spare room kept here in this round
+}
+
+// Claim is room that is being made for one unit of a job.
+type Claim struct {
+	Job   wire.JobID
+	Rank  int
+	Takes Res
+}
+
+// left is the room there will be when all that is being stopped is gone and
+// every claim but those that a job may pass over is used.
+func (m *Machine) left(passes func(*Claim) bool) Res {
+	left := m.Free.Plus(m.Stopping)
+	for i := range m.Claims {
+		if !passes(&m.Claims[i]) {
+			left = left.Minus(m.Claims[i].Takes)
+		}
+	}
+	return left
+}
+
+// claimed tells whether others' claims leave no room for the job here.
+func (m *Machine) claimed(j *Job, take Res) bool {
+	return len(m.Claims) > 0 && !take.Fits(m.left(func(c *Claim) bool {
+		return c.Job == j.Spec.ID || c.Rank < j.Spec.Urgency.Rank()
+	}))
+}
+
+// used takes away the claim that a unit of the job has used.
+func (m *Machine) used(id wire.JobID) {
+	if i := slices.IndexFunc(m.Claims, func(c Claim) bool { return c.Job == id }); i >= 0 {
+		m.Claims = slices.Delete(slices.Clone(m.Claims), i, i+1)
+	}
 }
 
 // Job with tasks that wait.
@@ -103,6 +142,8 @@
 	Avoid map[wire.MachineID]bool
 	// Guaranteed: fits into its team's guarantee with the earlier jobs.
 	Guaranteed bool
+	// Claims is for how many of its units room is being made.
+	Claims int
 }
 
 // Team with what its tasks take and its limit; a limit of 0 is none.
@@ -140,6 +181,13 @@
 type Result struct {
 	Starts []Start
 	Halts  []Victim
+	Clears []Clear
+}
+
+// Clear says for what room is made on a machine.
+type Clear struct {
+	On wire.MachineID
+	Claim
 }
 
 // Allowed tells whether the job may run on the machine at all.
@@ -255,11 +303,12 @@
 			m.Images[j.Spec.Bundle] = Fetching
 			m.PullGB += j.Spec.ImageGB
 		}
+		m.used(j.Spec.ID)
 		res.Starts = append(res.Starts, Start{ji, mi})
 		changed[mi] = step
 	}
 	if s.Preempt {
-		res.Halts = preempt(s)
+		res.Halts, res.Clears = preempt(s)
 	}
 	return res
 }
@@ -296,7 +345,7 @@
 		if !take.Fits(m.Free) || !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) {
 			continue
 		}
-		if !j.Spec.Service() && spoils(p.s, m, take) {
+		if !j.Spec.Service() && spoils(p.s, m, take) || m.claimed(j, take) {
 			continue
 		}
 		class := without
@@ -374,16 +423,15 @@
 
 // preempt picks tasks to stop so that what still waits with a higher
 // priority finds room: the machine where the least work is lost.
-func preempt(s *Snapshot) []Victim {
-	var halts []Victim
+func preempt(s *Snapshot) (halts []Victim, clears []Clear) {
 	waiting := make([]int, 0)
 	for i := range s.Jobs {
-		if j := &s.Jobs[i]; j.Pending > 0 && MayPreempt(j.Spec) && s.Teams[j.Spec.Owner] != nil {
+		if j := &s.Jobs[i]; j.Pending > j.Claims && MayPreempt(j.Spec) && s.Teams[j.Spec.Owner] != nil {
 			waiting = append(waiting, i)
 		}
 	}
 	if len(waiting) == 0 {
-		return nil
+		return nil, nil
 	}
 	if s.More != nil {
 		s.Machines = append(s.Machines, s.More()...)
@@ -398,7 +446,7 @@
 		for mi := range s.Machines {
 			offers[mi] = clearFor(&s.Machines[mi], j, take)
 		}
-		for range min(j.Pending, 8) {
+		for range min(j.Pending-j.Claims, 8) {
 			if !s.Teams[j.Spec.Owner].room(take) {
 				break
 			}
@@ -413,29 +461,26 @@
 			}
 			m := &s.Machines[mi]
 			for _, vi := range offers[mi].picks {
-				v := &m.Victims[vi]
-				m.Free = m.Free.Plus(v.Takes)
-				if !v.Stopped {
-					v.Stopped = true
-					halts = append(halts, *v)
-				}
-				v.Rank = 99 // its room is spoken for
+				halts = append(halts, m.Victims[vi])
+				m.Stopping = m.Stopping.Plus(m.Victims[vi].Takes)
 			}
-			m.Free = m.Free.Minus(take)
+			m.Victims = slices.DeleteFunc(slices.Clone(m.Victims), func(v Victim) bool {
+				return slices.ContainsFunc(halts, func(h Victim) bool { return h.Task == v.Task })
+			})
+			c := Claim{j.Spec.ID, j.Spec.Urgency.Rank(), take}
+			m.Claims = append(slices.Clone(m.Claims), c)
+			clears = append(clears, Clear{m.ID, c})
 			s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
 			j.ZoneHeld[m.Zone]++
 			offers[mi] = clearFor(m, j, take)
 		}
 	}
-	return halts
+	return halts, clears
 }
 
 // mayStop is the page's rule: a lower priority, or for a team's guarantee
 // what another team runs beyond its own.
 func mayStop(j *Job, v *Victim) bool {
-	if v.Rank == 99 {
-		return false
-	}
 	return v.Rank < j.Spec.Urgency.Rank() || j.Guaranteed && v.Beyond && v.Team != j.Spec.Owner && j.Spec.Service()
 }
 
@@ -475,8 +520,10 @@
 	if !take.Fits(m.Total) || !Allowed(j.Spec, m) {
 		return clearing{}
 	}
-	if take.Fits(m.Free) {
-		return clearing{ok: true, lost: fetchCost(m, j)}
+	c := clearing{lost: fetchCost(m, j)}
+	free := m.left(func(*Claim) bool { return false })
+	if c.ok = take.Fits(free); c.ok {
+		return c
 	}
 	order := make([]int, 0, len(m.Victims))
 	for vi := range m.Victims {
@@ -484,29 +531,16 @@
 			order = append(order, vi)
 		}
 	}
-	if len(order) == 0 {
-		return clearing{}
-	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		va, vb := &m.Victims[a], &m.Victims[b]
-		if va.Stopped != vb.Stopped {
-			if va.Stopped {
-				return -1
-			}
-			return 1
-		}
 		return cmp.Or(cmp.Compare(va.Rank, vb.Rank), cmp.Compare(va.Lost, vb.Lost))
 	})
-	c := clearing{lost: fetchCost(m, j)}
-	free := m.Free
 	for _, vi := range order {
 		if take.Fits(free) {
 			break
 		}
 		free = free.Plus(m.Victims[vi].Takes)
-		if !m.Victims[vi].Stopped {
-			c.lost += m.Victims[vi].Lost + 5
-		}
+		c.lost += m.Victims[vi].Lost + 5
 		c.picks = append(c.picks, vi)
 	}
 	c.ok = take.Fits(free)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -266,3 +266,46 @@
 		t.Errorf("an everyday array stops %v", h)
 	}
 }
+
+// Room that is being made for an urgent task is kept for it until it is whole:
+// two tasks of half a machine end one after the other, and a smaller job with
+// more to gain does not take the half that is free first. Nothing more is
+// stopped for it meanwhile, a second unit gets room of its own, and a job of a
+// higher priority passes over the claim.
+func TestRoomIsKeptForWhatItIsMadeFor(t *testing.T) {
+	spec := func(id wire.JobID, u wire.Urgency, cpus float64) *wire.Spec {
+		return &wire.Spec{ID: id, Owner: "t", Shape: wire.Sweep, Urgency: u, Parts: 9, CPUs: cpus, RAM: 3.5 * cpus, Standby: true}
+	}
+	urgent, small, prod := spec("req-1", wire.Urgent, 4), spec("req-2", wire.Standard, 2), spec("req-3", wire.Prod, 2)
+	half := Res{2, 0, 7}
+	whole := Res{4, 0, 16}
+	snap := func(m Machine, jobs ...Job) *Snapshot {
+		m.ID, m.Total, m.PullRate = "n", whole, 1
+		for i := range jobs {
+			jobs[i].ZoneHeld = map[wire.Zone]int{}
+		}
+		return &Snapshot{Teams: map[wire.TeamID]*Team{"t": {}}, Factors: Factors{1, 0.5, 60}, Preempt: true, Machines: []Machine{m}, Jobs: jobs}
+	}
+	victim := func(i int) Victim { return Victim{Task: wire.Task{Job: "req-9", Index: i}, Rank: 1, Takes: half} }
+	claim := []Claim{{urgent.ID, urgent.Urgency.Rank(), Of(urgent)}}
+	full := Machine{Victims: []Victim{victim(0), victim(1)}, Free: Res{0, 0, 2}}
+	free := Machine{Claims: claim, Free: Res{2, 0, 9}, Stopping: half}
+	cases := []struct {
+		name                  string
+		s                     *Snapshot
+		starts, halts, clears int
+	}{
+		{"a full machine is cleared", snap(full, Job{Spec: urgent, Pending: 1, Weight: 8}), 0, 2, 1},
+		{"the half that is free is kept", snap(free, Job{Spec: urgent, Pending: 1, Weight: 8, Claims: 1}, Job{Spec: small, Pending: 2, Weight: 99}), 0, 0, 0},
+		{"the whole is used", snap(Machine{Claims: claim, Free: whole}, Job{Spec: urgent, Pending: 1, Weight: 8, Claims: 1}, Job{Spec: small, Pending: 2, Weight: 99}), 1, 0, 0},
+		{"without a claim the small ones go", snap(Machine{Free: whole}, Job{Spec: urgent, Pending: 1, Weight: 8}, Job{Spec: small, Pending: 2, Weight: 99}), 2, 0, 0},
+		{"a claimed machine is no room for a second unit", snap(free, Job{Spec: urgent, Pending: 2, Weight: 8, Claims: 1}), 0, 0, 0},
+		{"a higher priority passes over it", snap(free, Job{Spec: prod, Pending: 1, Weight: 256}), 1, 0, 0},
+	}
+	for _, c := range cases {
+		res := Place(c.s)
+		if len(res.Starts) != c.starts || len(res.Halts) != c.halts || len(res.Clears) != c.clears {
+			t.Errorf("%s: %+v", c.name, res)
+		}
+	}
+}
