A majority cut off: what ran there counts for 22 s, not B; parted nodes stand in

Now a leader that not all nodes acknowledge stops after the time for which a node may stand in, counted by when they were asked (what was held up says nothing of now), and a successor counts on that. Second: two zones parted, both reaching the state service. Workers of the lone controller's zone were sent to a leader that they can't reach until their leases ended. Now a worker that was sent on and comes back is answered in the leader's stead, for the same 22 s; the leader counted that time already, so it costs nothing.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,17 +88,24 @@
 	// lost; own is its word to itself, from when it led.
 	standFor time.Duration
 	own      atomic.Pointer[peer.Grant]
+	// sentOn is when workers were last sent on to a leader that is not heard.
+	sentOn struct {
+		sync.Mutex
+		at map[wire.MachineID]time.Time
+	}
 }
 
 // New makes the leader's part of a node.
 func New(d Deps) *Leader {
-	return &Leader{
+	l := &Leader{
 		Deps:   d,
 		nonce:  rand.Text(),
 		turned: make(chan wire.MachineID, 64), standFor: standFor(d.Config.Settings.Workers),
 		direct: &http.Client{Transport: d.Net.Bounded(max(16, d.Sockets), 2*probeTimeout).Transport(2, max(4, d.Sockets/2))},
 		lines:  make(chan struct{}, max(4, d.Sockets/3)), asks: make(chan struct{}, max(2, d.Sockets/6)),
 	}
+	l.sentOn.at = map[wire.MachineID]time.Time{}
+	return l
 }
 
 // Leads tells whether this node holds the office now.
@@ -168,15 +176,17 @@
 	if t == nil || !t.answering() {
 		l.Metrics.Report("elsewhere")
 		if lead := l.leads(time.Now()); lead != "" {
-			if !l.stoodLately() && l.relay(r.Context(), w, lead, &rep) {
+			now := time.Now()
+			if !l.stoodLately() && l.Mesh.View().Others[lead].Near(now) && l.relay(r.Context(), w, lead, &rep) {
+				return
+			}
+			if back := l.cameBack(rep.Host, now); back && l.stand(w, &rep) {
 				return
 			}
 			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: lead})
 			return
 		}
-		if o := l.standIn(&rep); o != nil {
-			l.Metrics.Report("stood in")
-			wire.Answer(w, http.StatusOK, o)
+		if l.stand(w, &rep) {
 			return
 		}
 		wire.Refuse(w, http.StatusServiceUnavailable, "no leader known", 1)
@@ -185,6 +195,17 @@
 	l.serve(r.Context(), w, t, rep, false)
 }
 
+// stand answers a report in the lost leader's stead, if it may.
+func (l *Leader) stand(w http.ResponseWriter, rep *wire.Report) bool {
+	o := l.standIn(rep)
+	if o == nil {
+		return false
+	}
+	l.Metrics.Report("stood in")
+	wire.Answer(w, http.StatusOK, o)
+	return true
+}
+
 // leads is the node that leads as far as this node knows of late: by a beat,
 // or, when the links between the nodes are down, by the state service. What
 // it knew before it was cut off from both is no help: workers would be sent
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -476,13 +476,7 @@
 	// lease had run out were once given up at once, and started again.)
 	last := later(later(m.answered, m.tokenAt), later(m.shiftAt, t.stood))
 	if m.baton < t.first {
-		// It may not have seen our token, so an earlier leader may have
-		// answered it: until X after a majority took our token, or B at most.
-		other := t.born.Add(peer.B)
-		if !t.acked.IsZero() {
-			other = t.acked.Add(peer.X)
-		}
-		last = later(last, other)
+		last = later(last, t.othersUntil())
 	}
 	if now.Sub(last) < life {
 		return
@@ -502,6 +496,23 @@
 	}
 }
 
+// othersUntil is until when an earlier leader can have answered a worker that
+// has not seen our token: X after a majority took our token, or B at most. One
+// that never acknowledged a token of ours has had no acknowledgement from us
+// since this term began either, and stops as if alone. (Where one zone holds
+// most controllers no majority is left when it is cut off, and what ran there
+// was once counted for B.)
+func (t *term) othersUntil() time.Time {
+	other := t.born.Add(peer.B)
+	if t.l.standFor > 0 {
+		other = t.born.Add(max(t.l.standFor, 2*peer.X+time.Second))
+	}
+	if !t.acked.IsZero() && t.acked.Add(peer.X).Before(other) {
+		other = t.acked.Add(peer.X)
+	}
+	return other
+}
+
 // release returns a machine; its tasks count until the cloud has said that
 // it is gone.
 func (t *term) release(m *machine, why string) {
--- a/internal/leader/standin.go
+++ b/internal/leader/standin.go
@@ -8,9 +8,11 @@
 	"lilaclead/internal/wire"
 )
 
-// A node that has lost the leader and the state service answers the workers
-// that turn to it in the leader's stead: with its token and without orders, so
-// that what runs in a zone that is cut off goes on. It may do so for a while
+// A node that has lost the leader answers the workers that turn to it in the
+// leader's stead: with its token and without orders, so that what runs in a zone
+// that is cut off goes on. If the state service still says who leads, only the
+// way to the leader is cut, from here and perhaps not from the worker: then it
+// answers those that were sent to the leader and came back. It may do so for a while
 // after it last asked the leader, by a beat that the leader answered while it
 // surely held the office. The while is short enough for what a user cancels
 // behind its back: with the lease that its last answer gives, the task is gone
@@ -38,11 +40,24 @@
 	if own := l.own.Load(); own != nil && own.Token >= g.Token {
 		g = *own
 	}
-	ok := g.Token > 0 && g.Token == v.Token && baton <= g.Token && now.Sub(g.Sent) < l.standFor &&
-		now.Sub(v.Led) >= 2*peer.X && !l.Store.Reachable()
+	ok := g.Token > 0 && g.Token == v.Token && baton <= g.Token && now.Sub(g.Sent) < l.standFor && now.Sub(v.Led) >= 2*peer.X
 	return g.Token, ok
 }
 
+// cameBack tells whether a worker was sent to the leader from here a while ago
+// and is here again, and notes that it was here now.
+func (l *Leader) cameBack(id wire.MachineID, now time.Time) bool {
+	l.sentOn.Lock()
+	defer l.sentOn.Unlock()
+	at, ok := l.sentOn.at[id]
+	if len(l.sentOn.at) > 2*max(l.Workers, 1000) {
+		clear(l.sentOn.at)
+	}
+	l.sentOn.at[id] = now
+	// It gives each node 4 s, and a second between two.
+	return ok && now.Sub(at) < time.Duration(l.Config.Settings.Size)*5*time.Second
+}
+
 // standIn answers a report in the lost leader's stead, nil if it may not.
 func (l *Leader) standIn(rep *wire.Report) *wire.Orders {
 	if _, ok := l.mayStandIn(rep.Baton); !ok {
--- a/internal/leader/standin_test.go
+++ b/internal/leader/standin_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,6 +140,41 @@
 	}
 }
 
+// A successor that a majority never acknowledges, since most controllers are in
+// the zone that is cut off, counts what an earlier leader may answer for as long
+// as a node may stand in, and not for B; and a leader that not all acknowledge
+// keeps to that, whatever comes late from those it has lost.
+func TestLeadersWithoutEachOther(t *testing.T) {
+	tm, _, _ := rig(t)
+	tm.l.Config.Others = []config.Other{{HostName: "b"}, {HostName: "c"}}
+	now := time.Now()
+	tm.born = now.Add(-40 * time.Second)
+	since := func(at time.Time) time.Duration { return at.Sub(tm.born).Round(time.Second) }
+	// Without a time to stand in, and with a majority.
+	if got := since(tm.othersUntil()); got != peer.B {
+		t.Errorf("without standing in: %v", got)
+	}
+	tm.l.standFor = 22 * time.Second
+	if got := since(tm.othersUntil()); got != 22*time.Second {
+		t.Errorf("never acknowledged: %v", got)
+	}
+	tm.acked = tm.born.Add(3 * time.Second)
+	if got := since(tm.othersUntil()); got != 5*time.Second {
+		t.Errorf("acknowledged after 3 s: %v", got)
+	}
+	// Its last good renewal was asked for 10 s into the term.
+	tm.until.Store(int64(10*time.Second + grantLife - haste))
+	view := func(b, c float64) *peer.View {
+		asked := func(s float64) time.Time { return tm.born.Add(time.Duration(s * float64(time.Second))) }
+		return &peer.View{Others: map[wire.NodeID]peer.Other{"b": {AckSent: asked(b), Heard: now}, "c": {AckSent: asked(c), Heard: now}}}
+	}
+	for _, c := range []struct{ b, c, want float64 }{{39.5, 39.5, 44}, {39.5, 20, 32}, {39.5, 33, 37}, {0, 0, 32}} {
+		if got := tm.blindFor(view(c.b, c.c), now).Round(time.Second).Seconds(); got != math.Round(c.want) && got != math.Round(c.want-0.5) {
+			t.Errorf("acknowledged beats of %v and %v s: may answer until %v s, want %v", c.b, c.c, got, c.want)
+		}
+	}
+}
+
 // With reports every ten seconds a machine with replicas that has stopped is
 // known lost after some eight seconds, not after sixteen like others; but when
 // many such are quiet at once it is rather the way to them.
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -200,16 +200,7 @@
 	if acked && t.acked.IsZero() {
 		t.acked = now
 	}
-	// Bounded by B from the end of the grant, so that a successor knows when
-	// this node answered last, at the latest.
-	bound := time.Duration(t.until.Load()) + peer.B - haste
-	if t.l.standFor > 0 && slices.ContainsFunc(t.l.Config.Others, func(o config.Other) bool { return now.Sub(v.Others[o.HostName].Heard) > 2*peer.X }) {
-		// Not all nodes are heard: it may be no outage but a cut, behind which
-		// another leads and users cancel jobs. Then no longer than a node may
-		// stand in for a leader.
-		bound = min(bound, time.Duration(t.until.Load())-(grantLife-haste)+t.l.standFor)
-	}
-	t.blind.Store(int64(min(until.Sub(t.born), bound)))
+	t.blind.Store(int64(min(until.Sub(t.born), t.blindFor(v, now))))
 	if t.deciding() {
 		if !t.blindAt.IsZero() {
 			t.log().Info("state service back", "token", t.token, "away", now.Sub(t.blindAt))
@@ -232,6 +223,29 @@
 	}
 }
 
+// blindFor bounds, since the term began, for how long reports may be answered
+// without the state service, by B from the end of the grant, so that a successor
+// knows when this node answered last, at the latest. While not all nodes
+// acknowledge it may be no outage but a cut, behind which another leads and users
+// cancel jobs: then it is no longer than a node may stand in for a leader. A
+// successor counts on that, since one that it never had acknowledged its token
+// has had no acknowledgement from it either. (Counted by when they were asked,
+// not heard: what was held up on its way says nothing of now.)
+func (t *term) blindFor(v *peer.View, now time.Time) time.Duration {
+	until := time.Duration(t.until.Load())
+	if t.l.standFor == 0 {
+		return until + peer.B - haste
+	}
+	oldest := now
+	for _, o := range t.l.Config.Others {
+		if at := v.Others[o.HostName].AckSent; at.Before(oldest) {
+			oldest = at
+		}
+	}
+	alone := until - (grantLife - haste) + t.l.standFor
+	return min(until+peer.B-haste, max(alone, oldest.Add(2*peer.X).Sub(t.born)))
+}
+
 // enoughHeard tells whether the machines that should be up have reported with
 // our token: all of a small deployment, and half of a large one, where
 // showing the token to the last takes seconds. One that is in no list or did
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -54,6 +54,7 @@
 	wg       sync.WaitGroup
 
 	cutZone     wire.Zone
+	parted      [2]wire.Zone // zones that can't reach each other; empty: none
 	cloudOut    bool
 	loseRelease int
 	loseRent    int
@@ -92,6 +93,18 @@
 	}
 }
 
+// GasSettings are those of three controllers for three zones, a small state
+// service, and leases and cancellations close to each other. One of the zones
+// has no controller if Nodes says so.
+func GasSettings() config.Settings {
+	s := DefaultSettings()
+	s.Zones = []wire.Zone{"a", "b", "c"}
+	s.Workers = config.Workers{ReportS: 4, LeaseS: 22, CancelS: 47}
+	s.State = config.State{RPS: 80, WriteRPS: 25, ValueKB: 4, TxnOps: 8}
+	s.Cloud = config.Cloud{RPS: 10, ListLagS: 6}
+	return s
+}
+
 // Loopback is the machine's own loopback network in place of the one in
 // memory: host 10.a.b.c is 127.a.b.c.
 func Loopback(string) netio.Net {
@@ -298,6 +311,49 @@
 	}
 }
 
+// Nodes says in which zones the nodes are, before they are up: by turns, so that
+// some zones may have none.
+func (w *World) Nodes(zones ...wire.Zone) {
+	zone := func(i int) wire.Zone { return zones[i%len(zones)] }
+	for i, n := range w.nodes {
+		n.cfg.Zone = zone(i)
+		n.cfg.Others = slices.Clone(n.cfg.Others)
+		for k := range n.cfg.Others {
+			o := &n.cfg.Others[k]
+			o.Zone = zone(slices.IndexFunc(w.nodes, func(m *node) bool { return m.cfg.HostName == o.HostName }))
+		}
+	}
+}
+
+// Part keeps two zones from reaching each other, with all packets between them
+// held, or lets them again. Both still reach everything else.
+func (w *World) Part(a, b wire.Zone, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.parted = [2]wire.Zone{}; on {
+		w.parted = [2]wire.Zone{a, b}
+	}
+	for i, n := range w.nodes {
+		for k, o := range w.nodes {
+			if n.cfg.Zone == a && o.cfg.Zone == b {
+				w.Net.Cut(NodeIP(i), NodeIP(k), on)
+			}
+		}
+	}
+	for _, m := range w.machines {
+		w.part(m, a, b, on)
+	}
+}
+
+// part is what Part means for a machine.
+func (w *World) part(m *worker, a, b wire.Zone, on bool) {
+	for i, n := range w.nodes {
+		if z := n.cfg.Zone; z == a && m.zone == b || z == b && m.zone == a {
+			w.Net.Cut(m.ip, NodeIP(i), on)
+		}
+	}
+}
+
 // LoseReleases makes the next releases take effect without an answer.
 func (w *World) LoseReleases(n int) {
 	w.mu.Lock()
@@ -447,6 +503,9 @@
 	if zone == w.cutZone {
 		w.Net.Island(ip, true)
 	}
+	if w.parted[0] != "" {
+		w.part(m, w.parted[0], w.parted[1], true)
+	}
 	w.spawn(func() {
 		sleep(ctx, after)
 		if ctx.Err() == nil {
--- /dev/null
+++ b/parted_test.go
@@ -0,0 +1,171 @@
+package lilaclead_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"lilaclead/internal/standin"
+	"lilaclead/internal/wire"
+)
+
+// Three zones with machines; of three controllers two are in the first and one
+// is in the second.
+var oddZones = []wire.Zone{"a", "b", "a"}
+
+// playOdd plays a day on that layout.
+func playOdd(t *testing.T, seed uint64, script func(w *standin.World, at func(time.Duration))) {
+	t.Helper()
+	playIn(t, standin.GasSettings(), oddZones, seed, script)
+}
+
+// leaderIn sees to it that the leader is in a zone.
+func leaderIn(t *testing.T, w *standin.World, z wire.Zone) {
+	t.Helper()
+	for range 10 {
+		l := w.Leader()
+		if l >= 0 && w.Config(l).Zone == z {
+			return
+		}
+		if l >= 0 {
+			w.Kill(l)
+			time.Sleep(6 * time.Second)
+			if err := w.Up(l); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(3 * time.Second)
+	}
+	t.Fatalf("no leader in zone %s", z)
+}
+
+// Any zone is cut off: the one with most of the controllers, the one with one,
+// and the one with none, whose workers reach nobody. What ran there is done
+// elsewhere while the cut lasts, never twice, wherever the leader was.
+func TestAnyZoneCutOff(t *testing.T) {
+	for _, c := range [][2]wire.Zone{{"a", "a"}, {"a", "b"}, {"b", "a"}, {"b", "b"}, {"c", "a"}} {
+		t.Run(fmt.Sprintf("%s, leader in %s", c[0], c[1]), func(t *testing.T) {
+			playOdd(t, 50, func(w *standin.World, at func(time.Duration)) {
+				a, b := array(1, 18, 40), array(2, 6, 20)
+				at(2 * time.Second)
+				leaderIn(t, w, c[1])
+				w.Submit(a, 0)
+				at(45 * time.Second)
+				w.CutZone(c[0], true)
+				time.Sleep(8 * time.Second)
+				w.Submit(b, 0)
+				time.Sleep(160 * time.Second)
+				mustFinish(t, w, a, b)
+				w.CutZone(c[0], false)
+				time.Sleep(60 * time.Second)
+			})
+		})
+	}
+}
+
+// Two zones can't reach each other for longer than a lease; both still reach the
+// state service. The workers of one reach no node that reaches the leader, and
+// the node there stands in for it: what runs goes on. It must not matter in
+// which zone the leader is, and the office must not change hands.
+func TestZonesParted(t *testing.T) {
+	for _, leader := range []wire.Zone{"a", "b"} {
+		t.Run("leader in "+string(leader), func(t *testing.T) {
+			playOdd(t, 51, func(w *standin.World, at func(time.Duration)) {
+				a := array(1, 18, 70)
+				at(2 * time.Second)
+				leaderIn(t, w, leader)
+				w.Submit(a, 0)
+				at(60 * time.Second)
+				l := w.Leader()
+				w.Part("a", "b", true)
+				time.Sleep(20 * time.Second)
+				for i := range 3 {
+					if status, _, _ := w.Ask(i, "GET", "/ready", nil); status != 200 {
+						t.Errorf("/ready of node %d answers %d", i, status)
+					}
+				}
+				time.Sleep(16 * time.Second)
+				w.Part("a", "b", false)
+				if w.Leader() != l {
+					t.Error("the office changed hands")
+				}
+				time.Sleep(80 * time.Second)
+				mustFinish(t, w, a)
+				w.Checked(func(c *standin.Checker) {
+					if c.Again() != 0 {
+						t.Errorf("%d tasks were started again", c.Again())
+					}
+				})
+			})
+		})
+	}
+}
+
+// Seeded days on this layout: any zone cut off or any two parted, from seconds
+// to well over a lease and the time for cancellations, with controllers that
+// end, one or all, and the cloud or the state service away meanwhile.
+func TestSeededOddLayout(t *testing.T) {
+	most, _ := strconv.Atoi(os.Getenv("WORLD_SEEDS"))
+	for seed := range uint64(max(6, most)) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 3))
+			playOdd(t, 500+seed, func(w *standin.World, at func(time.Duration)) {
+				seconds := func(most int) time.Duration { return time.Duration(rng.IntN(1000*most)) * time.Millisecond }
+				zones := []wire.Zone{"a", "b", "c"}
+				var all []standin.Truth
+				for n := range 36 {
+					j := array(10+n, 1+rng.IntN(9), float64(5+rng.IntN(30)))
+					if rng.IntN(4) == 0 {
+						j.Spec.Urgency, j.Spec.CPUs, j.Spec.RAM = wire.Urgent, 4, 14
+					}
+					cancel := time.Duration(0)
+					if rng.IntN(3) == 0 {
+						cancel = time.Second + seconds(40)
+					} else {
+						all = append(all, j)
+					}
+					at(time.Duration(3+4*n)*time.Second + seconds(4))
+					w.Submit(j, cancel)
+					if n%9 != 6 {
+						continue
+					}
+					rng.Shuffle(3, func(i, k int) { zones[i], zones[k] = zones[k], zones[i] })
+					split := func(on bool) { w.CutZone(zones[0], on) }
+					if rng.IntN(2) == 0 {
+						split = func(on bool) { w.Part(zones[0], zones[1], on) }
+					}
+					split(true)
+					time.Sleep(seconds(8))
+					w.CloudOutage(rng.IntN(2) == 0)
+					w.State.Outage(rng.IntN(4) == 0)
+					if end := rng.IntN(4); end < 3 {
+						down := []int{end}
+						if end == 2 {
+							down = []int{0, 1, 2}
+						}
+						for _, i := range down {
+							w.Kill(i)
+						}
+						time.Sleep(seconds(5))
+						for _, i := range down {
+							if err := w.Up(i); err != nil {
+								t.Error(err)
+							}
+						}
+					}
+					time.Sleep(seconds(15))
+					w.State.Outage(false)
+					time.Sleep(seconds(60))
+					split(false)
+					time.Sleep(seconds(10))
+					w.CloudOutage(false)
+				}
+				time.Sleep(240 * time.Second)
+				mustFinish(t, w, all...)
+			})
+		})
+	}
+}
--- a/world_test.go
+++ b/world_test.go
@@ -54,10 +54,17 @@
 
 // playAs is play with settings of the test's own.
 func playAs(t *testing.T, set config.Settings, seed uint64, script func(w *standin.World, at func(time.Duration))) {
+	t.Helper()
+	playIn(t, set, set.Zones, seed, script)
+}
+
+// playIn is playAs with controllers in some zones only.
+func playIn(t *testing.T, set config.Settings, zones []wire.Zone, seed uint64, script func(w *standin.World, at func(time.Duration))) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := standin.NewWorld(ctx, set, seed, start, nil)
+		w.Nodes(zones...)
 		begin := time.Now()
 		for i := range set.Size {
 			if err := w.Up(i); err != nil {
