--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -891,6 +891,11 @@
 			share = max(share, o.Share)
 		}
 	}
+	if !j.spec.Service() && now.Sub(j.at).Seconds()+wait > startBy.Seconds() {
+		// Cheap room alone never catches up. (With 24 cheap machines of 40 a
+		// backlog of 16 minutes grew, and no ordinary one was rented.)
+		return dearStretch
+	}
 	if j.spec.Service() || share <= dearShare {
 		return 1
 	}
