Chunks of a job's progress are sized by the value limit; a job too large to store gets 422

Cause: a chunk of 256 tasks takes up to 9 KiB where values have 4: an array of 200 whose tasks were mostly started again would be refused by the state service again and again, and with it all that is written beside it. A submission whose record can't be stored got 503 for ever; now 422.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -228,7 +228,7 @@
 		in.log.Info("refuses a job that can never run", "job", spec.ID, "why", why)
 		return answer{status: http.StatusUnprocessableEntity, body: wire.Reason{Error: why}}
 	}
-	rec := store.JobRecord{Spec: spec, Status: wire.Queued, At: wire.StampOf(time.Now())}
+	rec := store.JobRecord{Spec: spec, Status: wire.Queued, At: wire.StampOf(time.Now()), Chunk: store.ChunkFor(in.set.State.ValueKB)}
 	err = in.commit(ctx, wire.Txn{
 		Guards: []wire.Guard{{Key: store.JobKey(spec.ID), Stamp: 0}, {Key: store.PastKey(spec.ID), Stamp: 0}},
 		Writes: []wire.Write{{Put: store.JobKey(spec.ID), Value: wire.Encode(rec)}},
@@ -245,8 +245,9 @@
 		}
 		return answer{status: http.StatusOK, body: wire.JobBrief{ID: s.ID, Status: s.Status}}
 	case errors.Is(err, store.ErrInvalid):
-		in.log.Error("state service calls a submission invalid", "job", spec.ID)
-		return unavailable
+		// Its record is over the limit of a value, and will be.
+		in.log.Info("refuses a job that can't be stored", "job", spec.ID)
+		return answer{status: http.StatusUnprocessableEntity, body: wire.Reason{Error: "too large to be stored"}}
 	default:
 		return unavailable
 	}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -12,7 +12,6 @@
 
 	"lilaclead/internal/netio"
 	"lilaclead/internal/placement"
-	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
 )
 
@@ -406,7 +405,7 @@
 	if j.over || j.archiving {
 		return false
 	}
-	n := task.Index / store.ChunkSize
+	n := task.Index / j.per
 	if n >= len(j.chunks) {
 		return true
 	}
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"lilaclead/internal/placement"
-	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
 )
 
@@ -48,10 +47,10 @@
 // attempt that holds a task; nil if none does.
 func (t *term) attempt(task wire.Task) *attempt {
 	j := t.jobs[task.Job]
-	if j == nil || j.chunks[task.Index/store.ChunkSize] == nil {
+	if j == nil || j.chunks[task.Index/j.per] == nil {
 		return nil
 	}
-	return j.chunks[task.Index/store.ChunkSize].holds[task.Index%store.ChunkSize]
+	return j.chunks[task.Index/j.per].holds[task.Index%j.per]
 }
 
 // claim is room that is being made on a machine, and until when it is kept.
--- a/internal/leader/safety_test.go
+++ b/internal/leader/safety_test.go
@@ -16,7 +16,7 @@
 // rig is a term without I/O, with one job of one task held on one machine.
 func rig(tb testing.TB) (*term, *machine, *attempt) {
 	tb.Helper()
-	cfg := &config.Config{Settings: config.Settings{Size: 3, Workers: config.Workers{ReportS: 2, LeaseS: 16, CancelS: 41}}}
+	cfg := &config.Config{Settings: config.Settings{Size: 3, Workers: config.Workers{ReportS: 2, LeaseS: 16, CancelS: 41}, State: config.State{ValueKB: 16}}}
 	l := &Leader{Deps: Deps{Config: cfg, Tuning: tuning.NewBox(), Flavors: &FlavorBox{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Metrics: Metrics{Moved: func(string) {}, Waited: func(string, float64) {}, Fleet: func(string, int) {}, Machines: func(map[string]int) {}}}}
 	tm := newTerm(l, office{token: 50, at: time.Now(), until: time.Now().Add(time.Hour)})
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -432,6 +432,7 @@
 	over      bool // to be archived
 	archiving bool
 	chunks    []*chunk
+	per       int // tasks of a chunk
 	done      int
 	held      int
 	// Faults: machines on which a task of it failed in a row.
@@ -445,14 +446,14 @@
 }
 
 func newJob(rec store.JobRecord, stamp wire.Revision) *job {
-	j := &job{spec: rec.Spec, stamp: stamp, at: rec.At.Time()}
+	j := &job{spec: rec.Spec, stamp: stamp, at: rec.At.Time(), per: rec.ChunkTasks()}
 	// Steady from here on; a clock that is off makes no job wait negatively.
 	if age := time.Since(j.at); age > 0 {
 		j.at = time.Now().Add(-age)
 	} else {
 		j.at = time.Now()
 	}
-	j.chunks = make([]*chunk, (rec.Spec.Parts+store.ChunkSize-1)/store.ChunkSize)
+	j.chunks = make([]*chunk, (rec.Spec.Parts+j.per-1)/j.per)
 	return j
 }
 
@@ -461,7 +462,7 @@
 func (j *job) chunk(n int) *chunk {
 	if j.chunks[n] == nil {
 		j.chunks[n] = &chunk{job: j, n: n, next: 1,
-			state: make([]uint8, min(store.ChunkSize, j.spec.Parts-n*store.ChunkSize)), holds: map[int]*attempt{}}
+			state: make([]uint8, min(j.per, j.spec.Parts-n*j.per)), holds: map[int]*attempt{}}
 	}
 	return j.chunks[n]
 }
@@ -586,7 +587,7 @@
 }
 
 func (a *attempt) task() wire.Task {
-	return wire.Task{Job: a.job.spec.ID, Index: a.chunk.n*store.ChunkSize + a.index}
+	return wire.Task{Job: a.job.spec.ID, Index: a.chunk.n*a.job.per + a.index}
 }
 
 // canStart tells whether a launch of the attempt may still take effect on
--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -75,6 +75,9 @@
 	})
 	for _, c := range launches {
 		rec := c.record()
+		for rec.JSONSize() > int(t.set.State.ValueKB*1024) && t.unplan(c, now) {
+			rec = c.record()
+		}
 		if full(1, rec.JSONSize()) {
 			continue
 		}
@@ -134,6 +137,21 @@
 	}()
 }
 
+// unplan takes back a start that is not stored yet, as the chunk's record has no
+// room for it: machines' names and attempts' numbers may be longer than was
+// counted on. A record over the limit would be refused again and again, and with
+// it all that is written beside it.
+func (t *term) unplan(c *chunk, now time.Time) bool {
+	for _, a := range c.holds {
+		if a.planned {
+			t.drop(a, taskPending)
+			c.job.notBefore = now.Add(time.Second)
+			return true
+		}
+	}
+	return false
+}
+
 // archive replaces a job that is over by its final record. Chunks beyond
 // what one transaction takes are dropped later, as orphans.
 func (t *term) archive(b *batch, j *job, full func(n, bytes int) bool) {
--- a/internal/leader/write_test.go
+++ b/internal/leader/write_test.go
@@ -152,3 +152,22 @@
 		}
 	})
 }
+
+// What has no room in a chunk's record, machines' names being longer than was
+// counted on, waits; the rest of the chunk is stored all the same.
+func TestRecordOverTheLimit(t *testing.T) {
+	desk(t, func(tm *term, m *machine, st *standin.State, settle func()) {
+		j := newJob(store.JobRecord{Spec: wire.Spec{ID: "req-2", Owner: "red", Shape: wire.Sweep, Parts: 40, CPUs: 1}, At: wire.StampOf(time.Now())}, 1)
+		j.stamp = st.Put(store.JobKey("req-2"), store.JobRecord{Spec: j.spec, Status: wire.Queued})
+		tm.jobs[j.spec.ID] = j
+		tm.set.State.ValueKB = 0.5
+		long := tm.machine("n-a-very-long-name-of-a-machine-000000001")
+		for range 40 {
+			tm.start(j, long, time.Now())
+		}
+		settle()
+		if j.held == 0 || j.held > 8 || j.pending() != 40-j.held || j.chunk(0).stamp == 0 {
+			t.Errorf("%d of 40 held, %d pending, stored with stamp %d", j.held, j.pending(), j.chunk(0).stamp)
+		}
+	})
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -1,6 +1,11 @@
 package standin
 
 import (
+	"encoding/json"
+	"math"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -196,7 +201,7 @@
 			return
 		}
 		for _, x := range t.Writes {
-			if len(x.Value) > s.valueKB<<10 || (x.Put == "") == (x.Drop == "") {
+			if jsonSize(x.Value) > s.valueKB<<10 || (x.Put == "") == (x.Drop == "") {
 				bad()
 				return
 			}
@@ -265,6 +270,30 @@
 	wire.Answer(w, http.StatusOK, page)
 }
 
+// jsonSize is the size of a value as the service counts it.
+func jsonSize(v wire.Raw) int {
+	if len(v) == 0 {
+		return 0
+	}
+	var x any
+	b, err := []byte(nil), valueMode.Unmarshal(v, &x)
+	if err == nil {
+		b, err = json.Marshal(x)
+	}
+	if err != nil {
+		return math.MaxInt
+	}
+	return len(b)
+}
+
+var valueMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{DefaultMapType: reflect.TypeFor[map[string]any]()}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
 func (s *State) txn(w http.ResponseWriter, t *wire.Txn) {
 	s.mu.Lock()
 	if s.dropTxn > 0 {
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -50,6 +50,17 @@
 	// At is when the job was accepted, Ended when it was cancelled.
 	At    wire.Stamp `cbor:"at"`
 	Ended wire.Stamp `cbor:"ended,omitempty"`
+	// Chunk is how many tasks a chunk of its progress has, fixed when the job
+	// is accepted; 0: ChunkSize.
+	Chunk int `cbor:"chunk,omitempty"`
+}
+
+// ChunkTasks is how many tasks a chunk of the job's progress has.
+func (r *JobRecord) ChunkTasks() int {
+	if r.Chunk < 1 || r.Chunk > ChunkSize {
+		return ChunkSize
+	}
+	return r.Chunk
 }
 
 // PastRecord is the value of past/<id>.
@@ -65,10 +76,26 @@
 	Nonce string `cbor:"nonce"`
 }
 
-// ChunkSize is the number of tasks of one chunk. A full chunk stays below
-// the smallest value limit: 256 entries of some 24 bytes.
+// ChunkSize is the number of tasks of one chunk at most.
 const ChunkSize = 256
 
+// ChunkFor is the number of tasks that a chunk may have where values have so many
+// KiB: it fits with every task on a machine, however often started, and in every
+// mix of states. (At 4 KiB an array of 200 tasks in one chunk was just too large
+// once most had been started again.)
+func ChunkFor(valueKB float64) int {
+	return max(1, min(ChunkSize, int(valueKB*1024-recordBytes)/heldBytes))
+}
+
+// recordBytes and heldBytes are what a chunk and each attempt in it take in JSON:
+// a task of 3 digits, an attempt's number of 8, a machine's name of 14 bytes. A
+// range of completed tasks takes less.
+const (
+	recordBytes = 64
+	heldBytes   = 3 + 8 + 14 + heldMarks
+	heldMarks   = 10 // brackets, commas with a space, quotation marks
+)
+
 // Held is an attempt that may be on a machine.
 type Held struct {
 	_    struct{} `cbor:",toarray"`
@@ -125,9 +152,20 @@
 // JSONSize estimates the size of a value in the form in which the service
 // counts it, from above.
 func (c *ChunkRecord) JSONSize() int {
-	n := 64 + 8*len(c.Done)
+	n := recordBytes
+	for _, d := range c.Done {
+		n += digits(uint64(d)) + 2
+	}
 	for _, h := range c.Held {
-		n += 34 + len(h.On)
+		n += digits(uint64(h.Task)) + digits(uint64(h.Try)) + len(h.On) + heldMarks
 	}
 	return n
 }
+
+func digits(n uint64) int {
+	d := 1
+	for ; n > 9; n /= 10 {
+		d++
+	}
+	return d
+}
--- a/internal/store/records_test.go
+++ b/internal/store/records_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"encoding/json"
 	"flag"
 	"testing"
@@ -44,27 +45,41 @@
 	}
 }
 
-// A chunk survives its encoding, and the fullest one fits the smallest value
-// limit by the size that the service counts.
+// A chunk survives its encoding, and the largest that the value limit allows fits
+// it by the size that the service counts, with its tasks in every mix of states.
 func TestChunkRecord(t *testing.T) {
-	rec := ChunkRecord{Next: 1 << 40}
-	for i := range ChunkSize {
-		rec.Held = append(rec.Held, Held{Task: i, Try: 1<<40 + wire.Attempt(i), On: "n-00000231"})
-	}
-	for i := 0; i < ChunkSize; i += 2 {
-		rec.Done = append(rec.Done, i, i+1)
-	}
-	var back ChunkRecord
-	if err := wire.Decode(wire.Encode(rec), &back); err != nil || len(back.Held) != ChunkSize || back.Held[7] != rec.Held[7] || back.Next != rec.Next {
-		t.Fatalf("came back as %v, %v", back.Held[:1], err)
-	}
-	list := [][]any{}
-	for _, h := range rec.Held {
-		list = append(list, []any{h.Task, h.Try, h.On})
+	for _, kb := range []float64{1, 4, 16, 32} {
+		rapid.Check(t, func(t *rapid.T) {
+			size := ChunkFor(kb)
+			rec := ChunkRecord{Next: 1e8, Done: []int{}, Held: []Held{}}
+			done := make([]bool, size)
+			share := rapid.IntRange(0, 4).Draw(t, "share")
+			for i := range size {
+				switch what := rapid.IntRange(0, 5).Draw(t, "state"); {
+				case what > share:
+					rec.Held = append(rec.Held, Held{Task: i, Try: 1e8 - 1 - wire.Attempt(i), On: "n-000000001231"})
+				case what > 0:
+					done[i] = true
+				}
+			}
+			rec.Done = Ranges(done)
+			var back ChunkRecord
+			if err := wire.Decode(wire.Encode(rec), &back); err != nil || len(back.Held) != len(rec.Held) || len(rec.Held) > 0 && back.Held[0] != rec.Held[0] || back.Next != rec.Next {
+				t.Fatalf("came back as %v, %v", back, err)
+			}
+			list := [][]any{}
+			for _, h := range rec.Held {
+				list = append(list, []any{h.Task, h.Try, h.On})
+			}
+			j, _ := json.Marshal(map[string]any{"n": rec.Next, "d": rec.Done, "r": list})
+			spaced := len(j) + bytes.Count(j, []byte(",")) + bytes.Count(j, []byte(":"))
+			if spaced > int(kb*1024) || rec.JSONSize() < spaced {
+				t.Fatalf("%d bytes, estimated %d, of %g KiB", spaced, rec.JSONSize(), kb)
+			}
+		})
 	}
-	j, _ := json.Marshal(map[string]any{"n": rec.Next, "d": rec.Done, "r": list})
-	if len(j) > 16<<10 || rec.JSONSize() < len(j) {
-		t.Fatalf("%d bytes, estimated %d", len(j), rec.JSONSize())
+	if n := ChunkFor(32); n != ChunkSize {
+		t.Errorf("%d tasks in a chunk where there is room for all", n)
 	}
 	if id, n, ok := ParseChunkKey(ChunkKey("req-7", 3)); id != "req-7" || n != 3 || !ok {
 		t.Fatalf("key read as %s %d %v", id, n, ok)
--- a/parted_test.go
+++ b/parted_test.go
@@ -169,3 +169,25 @@
 		})
 	}
 }
+
+// Values of 4 KiB: the progress of an array whose tasks are all on machines at
+// once stays within them, and starts again after a change of leader. (One record
+// over the limit was refused again and again, and nothing else was written.)
+func TestSmallRecords(t *testing.T) {
+	playOdd(t, 52, func(w *standin.World, at func(time.Duration)) {
+		wide, other := array(1, 300, 60), array(2, 3, 10)
+		wide.Spec.CPUs, wide.Spec.RAM = 0.1, 0.1
+		at(2 * time.Second)
+		w.Submit(wide, 0)
+		at(45 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			if n := c.On(wide.Spec.ID); n != 300 {
+				t.Errorf("%d of 300 tasks run", n)
+			}
+		})
+		w.Submit(other, 0)
+		w.Kill(w.Leader())
+		at(140 * time.Second)
+		mustFinish(t, w, wide, other)
+	})
+}
