Tight settings start, impossible ones are named; zones that no setting names count

Looks at the office take a sixth of the state service's rate at most. Zones in which machines can be rented or were heard of count for services that are spread, though no setting names them. Tests: settings, a world with 12 requests and 8 changes a second, values of 1 KiB.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 
@@ -136,7 +137,7 @@
 		}
 	}
 	positive := func(field string, v float64) {
-		if !(v > 0) {
+		if !(v > 0) || math.IsInf(v, 1) {
 			bad(field, "must be above 0")
 		}
 	}
@@ -168,9 +169,17 @@
 	if len(s.Teams) == 0 {
 		bad("settings.teams", "missing")
 	}
+	for i, z := range s.Zones {
+		text(fmt.Sprintf("settings.zones[%d]", i), string(z))
+	}
+	teams := map[wire.TeamID]bool{}
 	for i, t := range s.Teams {
 		at := fmt.Sprintf("settings.teams[%d].", i)
 		text(at+"name", string(t.Name))
+		if teams[t.Name] {
+			bad(at+"name", "named twice")
+		}
+		teams[t.Name] = true
 		for _, a := range []struct {
 			field string
 			v     float64
@@ -183,11 +192,17 @@
 	positive("settings.workers.report_s", float64(s.Workers.ReportS))
 	positive("settings.workers.lease_s", float64(s.Workers.LeaseS))
 	positive("settings.workers.cancel_s", float64(s.Workers.CancelS))
+	if s.Workers.LeaseS > 0 && !(s.Workers.LeaseS > s.Workers.ReportS) {
+		bad("settings.workers.lease_s", "must be longer than report_s: leases would end between two reports")
+	}
 	positive("settings.state.rps", s.State.RPS)
 	positive("settings.state.write_rps", s.State.WriteRPS)
 	positive("settings.state.value_kb", s.State.ValueKB)
-	if s.State.TxnOps < 3 {
-		bad("settings.state.txn_ops", "must be 3 or more")
+	if s.State.ValueKB > 0 && s.State.ValueKB < 0.5 {
+		bad("settings.state.value_kb", "must be 0.5 or more, to hold one job")
+	}
+	if s.State.TxnOps < 2 {
+		bad("settings.state.txn_ops", "must be 2 or more: a job's record is replaced by its final one")
 	}
 	positive("settings.cloud.rps", s.Cloud.RPS)
 	if !(s.Cloud.ListLagS >= 0) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -60,3 +60,39 @@
 		}
 	}
 }
+
+// A tight deployment starts, and so does one with zones that have no controller
+// or that no setting names; what can't work at all is named.
+func TestTightIsNotWrong(t *testing.T) {
+	change := func(pairs ...string) error {
+		_, err := Parse([]byte(strings.NewReplacer(pairs...).Replace(good)))
+		return err
+	}
+	for _, pairs := range [][]string{
+		{`zone = "z1"`, `zone = "elsewhere"`},
+		{`zones = ["z1"]`, `zones = ["z1", "z2", "z3"]`},
+		{"lease_s = 45.0", "lease_s = 4.0"},
+		{"cancel_s = 70.0", "cancel_s = 20.0"},
+		{"value_kb = 16.0", "value_kb = 1.0"},
+		{"txn_ops = 12", "txn_ops = 2"},
+		{"rps = 10.0", "rps = 1.5"},
+		{"memory_mb = 98.0", "memory_mb = 24.0"},
+		{"fd_limit = 900", "fd_limit = 64"},
+	} {
+		if err := change(pairs...); err != nil {
+			t.Errorf("%v: %v", pairs, err)
+		}
+	}
+	for want, pairs := range map[string][]string{
+		"settings.workers.lease_s":  {"lease_s = 45.0", "lease_s = 2.0"},
+		"settings.workers.report_s": {"report_s = 3.0", "report_s = inf"},
+		"settings.state.value_kb":   {"value_kb = 16.0", "value_kb = 0.1"},
+		"settings.state.txn_ops":    {"txn_ops = 12", "txn_ops = 1"},
+		"settings.zones[1]":         {`zones = ["z1"]`, `zones = ["z1", ""]`},
+		"settings.teams[1].name":    {`name = "t"`, "name = \"t\"\n[[settings.teams]]\nname = \"t\""},
+	} {
+		if err := change(pairs...); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: error %v lacks %q", pairs, err, want)
+		}
+	}
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -344,7 +344,7 @@
 			return true
 		}
 		held, room := a.job.zones(), 0
-		for _, z := range t.set.Zones {
+		for _, z := range t.zones() {
 			if z != m.zone && !t.wasCut(z, now) {
 				room += a.job.spec.ZoneCap() - held[z]
 			}
@@ -356,6 +356,27 @@
 	return false
 }
 
+// zones are those of the settings, of what can be rented, and of the machines
+// that were heard of: some may be in no settings.
+func (t *term) zones() []wire.Zone {
+	out := slices.Clone(t.set.Zones)
+	add := func(z wire.Zone) {
+		if z != "" && !slices.Contains(out, z) {
+			out = append(out, z)
+		}
+	}
+	for _, f := range t.l.Flavors.Get() {
+		for _, z := range f.Sites {
+			add(z)
+		}
+	}
+	for z := range t.heard {
+		add(z)
+	}
+	slices.Sort(out[len(t.set.Zones):])
+	return out
+}
+
 // states counts the machines in each state, for the metrics.
 func (t *term) states() map[string]int {
 	n := map[string]int{"up": 0, "booting": 0, "draining": 0, "releasing": 0}
@@ -726,6 +747,7 @@
 	}
 	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spec.ID, b.spec.ID)) })
 	waits := t.queueing(jobs, now)
+	zones := t.zones()
 	var out []fleet.Demand
 	used := map[wire.TeamID]placement.Res{}
 	for _, j := range t.jobs {
@@ -769,7 +791,7 @@
 		if j.spec.Apart || j.spec.SamePlace {
 			d.ZoneLeft = map[wire.Zone]int{}
 			held := j.zones()
-			for _, z := range t.set.Zones {
+			for _, z := range zones {
 				d.ZoneLeft[z] = max(0, j.spec.ZoneCap()-held[z])
 				if j.spec.SamePlace && j.held > 0 && held[z] == 0 {
 					d.ZoneLeft[z] = 0
@@ -782,7 +804,7 @@
 		spec := &wire.Spec{Shape: wire.Daemon, Urgency: wire.Prod, Parts: n, CPUs: r.CPUs, RAM: r.RAM}
 		// In one zone alone it would not serve a service that is spread.
 		left := map[wire.Zone]int{}
-		for _, z := range t.set.Zones {
+		for _, z := range zones {
 			left[z] = (n + 1) / 2
 		}
 		out = append(out, fleet.Demand{Spec: spec, Units: n, Rank: 9, ZoneLeft: left})
--- a/internal/leader/office.go
+++ b/internal/leader/office.go
@@ -39,7 +39,7 @@
 		select {
 		case <-ctx.Done():
 			return office{}, false
-		case <-time.After(pollEvery + rand.N(pollEvery/4)):
+		case <-time.After(l.pollEvery() + rand.N(pollEvery/4)):
 		}
 		e, err := l.Store.Get(ctx, store.Vital, store.LeadKey)
 		if err == nil {
@@ -75,6 +75,13 @@
 	}
 }
 
+// pollEvery is longer where the state service serves little: the looks of all
+// nodes take a sixth of its rate at most.
+func (l *Leader) pollEvery() time.Duration {
+	s := &l.Config.Settings
+	return max(pollEvery, min(4*pollEvery, time.Duration(float64(time.Second)*6*float64(s.Size-1)/max(1, s.State.RPS))))
+}
+
 // take tries to take the free office once.
 func (l *Leader) take(ctx context.Context) (office, bool) {
 	sent := time.Now()
--- a/internal/leader/size_test.go
+++ b/internal/leader/size_test.go
@@ -209,3 +209,21 @@
 		}
 	})
 }
+
+// Zones that no setting names count like the others once they can be rented in or
+// were heard of: a service that is spread has room there.
+func TestZonesOutsideTheSettings(t *testing.T) {
+	tm := sized(t, 30)
+	tm.set.Zones = []wire.Zone{"b"}
+	tm.heard["d"] = heard{}
+	j := newJob(store.JobRecord{Spec: wire.Spec{ID: "req-9", Owner: "red", Shape: wire.Daemon, Urgency: wire.Prod, Parts: 5, CPUs: 1, Apart: true}, At: wire.StampOf(time.Now())}, 9)
+	tm.jobs[j.spec.ID] = j
+	if got := fmt.Sprint(tm.zones()); got != "[b a c d]" {
+		t.Errorf("zones %s", got)
+	}
+	for _, d := range tm.demands(time.Now(), 0.6, 2) {
+		if d.Spec.ID == j.spec.ID && (d.ZoneLeft["a"] != 3 || d.ZoneLeft["d"] != 3) {
+			t.Errorf("may take %v", d.ZoneLeft)
+		}
+	}
+}
--- a/parted_test.go
+++ b/parted_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"lilaclead/internal/config"
 	"lilaclead/internal/standin"
 	"lilaclead/internal/wire"
 )
@@ -191,3 +192,25 @@
 		mustFinish(t, w, wide, other)
 	})
 }
+
+// The smallest state service that can work: two changes a transaction, values of
+// 1 KiB, a few requests a second, and leases that leave no time to stand in. It
+// starts and serves.
+func TestTightDeployment(t *testing.T) {
+	set := standin.GasSettings()
+	set.State = config.State{RPS: 12, WriteRPS: 8, ValueKB: 1, TxnOps: 2}
+	set.Workers = config.Workers{ReportS: 4, LeaseS: 8, CancelS: 12}
+	set.Limits = config.Limits{Cores: 0.1, MemoryMB: 40, FDLimit: 100}
+	playIn(t, set, oddZones, 53, func(w *standin.World, at func(time.Duration)) {
+		a, b, gone := array(1, 40, 20), array(2, 6, 10), array(3, 10, 60)
+		at(3 * time.Second)
+		w.Submit(a, 0)
+		w.Submit(gone, 45*time.Second)
+		at(30 * time.Second)
+		w.Submit(b, 0)
+		at(60 * time.Second)
+		w.Kill(w.Leader())
+		at(240 * time.Second)
+		mustFinish(t, w, a, b)
+	})
+}
