Urgent tasks await what ends by itself within seconds, in place of stopping it

A claim may now wait for tasks that are expected to end by themselves within 5 s, less when the urgent job has little slack or has waited; any task will do, whatever its priority. Ruled out: fewer machines (all 1,080 were up), weights (the tasks had begun in time).

--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -28,7 +29,7 @@
 	}
 	for _, c := range res.Clears {
 		m := t.machines[c.On]
-		m.claims = append(m.claims, claim{c.Claim, now.Add(t.haltBy(0))})
+		m.claims = append(m.claims, claim{c.Claim, c.Awaits, now.Add(t.haltBy(0))})
 		t.claimed[m] = struct{}{}
 	}
 	for _, v := range res.Halts {
@@ -56,7 +57,8 @@
 // claim is room that is being made on a machine, and until when it is kept.
 type claim struct {
 	placement.Claim
-	until time.Time
+	awaits []wire.Task // expected to end by themselves
+	until  time.Time
 }
 
 // claims drops what is no longer claimed, since it took too long or the job's
@@ -162,6 +164,32 @@
 	return w
 }
 
+// patienceMost is how long an urgent array's task may wait for others to end by
+// themselves in place of being stopped.
+const patienceMost = 5.0
+
+// patience of an urgent array: a small part of its slack, and little once it has
+// waited. What is always on has none.
+func (t *term) patience(j *job, now time.Time) float64 {
+	if j.spec.Service() {
+		return 0
+	}
+	return max(0, min(patienceMost, t.slack(j, now)/8, patienceMost+1-now.Sub(j.at).Seconds()))
+}
+
+// left is in how many seconds a task is expected to end by itself. Until some of
+// its job's tasks are done there is only its owner's word, which is often short.
+func (a *attempt) left(now time.Time) float64 {
+	if a.runAt.IsZero() || a.job.spec.Service() {
+		return math.Inf(1)
+	}
+	need := a.job.expected()
+	if len(a.job.runs.s) == 0 {
+		need *= 1.5
+	}
+	return max(need/10, need-now.Sub(a.runAt).Seconds())
+}
+
 // expected run time of a task: what was seen, else what the owner says.
 func (j *job) expected() float64 {
 	if n := len(j.runs.s); n > 0 {
@@ -228,8 +256,10 @@
 		if f := t.flavor(m.kit); f != nil {
 			pm.PullRate = f.PullGBPerS
 		}
+		var awaited []wire.Task
 		for _, c := range m.claims {
 			pm.Claims = append(pm.Claims, c.Claim)
+			awaited = append(awaited, c.awaits...)
 		}
 		for _, a := range m.tasks {
 			if a.job.spec.Service() {
@@ -245,6 +275,10 @@
 					pm.PullGB += a.job.spec.ImageGB
 				}
 			}
+			if slices.Contains(awaited, a.task()) && !a.halting {
+				pm.Stopping = pm.Stopping.Plus(a.res())
+				continue
+			}
 			if !preempts || a.planned || a.halting || a.job.spec.Service() && a.job.spec.Urgency == wire.Prod {
 				continue
 			}
@@ -256,7 +290,7 @@
 				}
 			}
 			pm.Victims = append(pm.Victims, placement.Victim{Task: a.task(), Rank: a.job.spec.Urgency.Rank(), Takes: a.res(),
-				Lost: lost, Beyond: beyond(a.job), Team: a.job.spec.Owner})
+				Lost: lost, LeftS: a.left(now), Beyond: beyond(a.job), Team: a.job.spec.Owner})
 		}
 		slices.SortFunc(pm.Victims, func(a, b placement.Victim) int {
 			return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), a.Task.Index-b.Task.Index)
@@ -278,11 +312,11 @@
 		return out
 	}
 	slices.SortFunc(js, func(a, b *job) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spec.ID, b.spec.ID)) })
-	sure := t.guaranteed()
+	sure, zones := t.guaranteed(), t.zones()
 	kept := js[:0]
 	for _, j := range js {
 		pj := placement.Job{Spec: &j.spec, Pending: j.pending(), ZoneHeld: map[wire.Zone]int{},
-			WaitedS: now.Sub(j.at).Seconds(), Avoid: j.failedOn, Guaranteed: sure[j.spec.ID], Claims: claims[j.spec.ID], Weight: t.weight(j, sure[j.spec.ID], now)}
+			WaitedS: now.Sub(j.at).Seconds(), Avoid: j.failedOn, Guaranteed: sure[j.spec.ID], Claims: claims[j.spec.ID], PatienceS: t.patience(j, now), Weight: t.weight(j, sure[j.spec.ID], now)}
 		if t.starves(j, now) {
 			pj.Pending, pj.Weight = 1, starvingWeight
 		}
@@ -296,7 +330,7 @@
 				continue // where its tasks are is not known yet
 			}
 			// Each of these may be in any zone, so it counts in all.
-			for _, z := range t.set.Zones {
+			for _, z := range zones {
 				pj.ZoneHeld[z] += unknown
 			}
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -72,6 +72,7 @@
 	Lost   float64 // run time that would be repeated, seconds
 	Beyond bool    // its team runs beyond its own guarantee
 	Team   wire.TeamID
+	LeftS  float64 // in which it is expected to end by itself
 }
 
 // Machine that can take tasks.
@@ -144,6 +145,9 @@
 	Guaranteed bool
 	// Claims is for how many of its units room is being made.
 	Claims int
+	// PatienceS is how long a unit may wait for tasks to end by themselves,
+	// rather than have them stopped.
+	PatienceS float64
 }
 
 // Team with what its tasks take and its limit; a limit of 0 is none.
@@ -188,6 +192,8 @@
 type Clear struct {
 	On wire.MachineID
 	Claim
+	// Awaits are tasks that will end by themselves in time.
+	Awaits []wire.Task
 }
 
 // Allowed tells whether the job may run on the machine at all.
@@ -460,16 +466,23 @@
 				break
 			}
 			m := &s.Machines[mi]
-			for _, vi := range offers[mi].picks {
-				halts = append(halts, m.Victims[vi])
-				m.Stopping = m.Stopping.Plus(m.Victims[vi].Takes)
+			var awaits []wire.Task
+			var kept []Victim
+			for vi, v := range m.Victims {
+				switch {
+				case !slices.Contains(offers[mi].picks, vi):
+					kept = append(kept, v)
+					continue
+				case ends(j, &v):
+					awaits = append(awaits, v.Task)
+				default:
+					halts = append(halts, v)
+				}
+				m.Stopping = m.Stopping.Plus(v.Takes)
 			}
-			m.Victims = slices.DeleteFunc(slices.Clone(m.Victims), func(v Victim) bool {
-				return slices.ContainsFunc(halts, func(h Victim) bool { return h.Task == v.Task })
-			})
 			c := Claim{j.Spec.ID, j.Spec.Urgency.Rank(), take}
-			m.Claims = append(slices.Clone(m.Claims), c)
-			clears = append(clears, Clear{m.ID, c})
+			m.Victims, m.Claims = kept, append(slices.Clone(m.Claims), c)
+			clears = append(clears, Clear{m.ID, c, awaits})
 			s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
 			j.ZoneHeld[m.Zone]++
 			offers[mi] = clearFor(m, j, take)
@@ -478,6 +491,10 @@
 	return halts, clears
 }
 
+// ends tells whether the task is worth waiting for: it is expected to end by
+// itself within the job's patience. That needs no leave, whatever its priority.
+func ends(j *Job, v *Victim) bool { return j.PatienceS > 0 && v.LeftS <= j.PatienceS }
+
 // mayStop is the page's rule: a lower priority, or for a team's guarantee
 // what another team runs beyond its own.
 func mayStop(j *Job, v *Victim) bool {
@@ -514,8 +531,10 @@
 	picks []int
 }
 
-// clearFor finds the tasks to stop on a machine for one unit of the job, those
-// with the least work lost first.
+// clearFor finds the tasks to await or stop on a machine for one unit of the job,
+// those with the least work lost first. (Urgent tasks on full machines once
+// stopped what would have ended in a moment, most of it of the lowest priority,
+// whose jobs were then late by what was stopped again and again.)
 func clearFor(m *Machine, j *Job, take Res) clearing {
 	if !take.Fits(m.Total) || !Allowed(j.Spec, m) {
 		return clearing{}
@@ -527,12 +546,20 @@
 	}
 	order := make([]int, 0, len(m.Victims))
 	for vi := range m.Victims {
-		if mayStop(j, &m.Victims[vi]) {
+		if v := &m.Victims[vi]; ends(j, v) || mayStop(j, v) {
 			order = append(order, vi)
 		}
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		va, vb := &m.Victims[a], &m.Victims[b]
+		switch ea, eb := ends(j, va), ends(j, vb); {
+		case ea && eb:
+			return cmp.Compare(va.LeftS, vb.LeftS)
+		case ea:
+			return -1
+		case eb:
+			return 1
+		}
 		return cmp.Or(cmp.Compare(va.Rank, vb.Rank), cmp.Compare(va.Lost, vb.Lost))
 	})
 	for _, vi := range order {
@@ -540,7 +567,11 @@
 			break
 		}
 		free = free.Plus(m.Victims[vi].Takes)
-		c.lost += m.Victims[vi].Lost + 5
+		if v := &m.Victims[vi]; ends(j, v) {
+			c.lost += v.LeftS
+		} else {
+			c.lost += v.Lost + 5
+		}
 		c.picks = append(c.picks, vi)
 	}
 	c.ok = take.Fits(free)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -290,11 +290,19 @@
 	claim := []Claim{{urgent.ID, urgent.Urgency.Rank(), Of(urgent)}}
 	full := Machine{Victims: []Victim{victim(0), victim(1)}, Free: Res{0, 0, 2}}
 	free := Machine{Claims: claim, Free: Res{2, 0, 9}, Stopping: half}
+	soon := func(v Victim, in float64) Victim {
+		v.LeftS = in
+		return v
+	}
+	patient := Job{Spec: urgent, Pending: 1, Weight: 8, PatienceS: 5}
 	cases := []struct {
 		name                  string
 		s                     *Snapshot
 		starts, halts, clears int
 	}{
+		{"what ends soon is awaited", snap(Machine{Victims: []Victim{soon(victim(0), 3), soon(victim(1), 4)}, Free: Res{0, 0, 2}}, patient), 0, 0, 1},
+		{"one is awaited, the other stopped", snap(Machine{Victims: []Victim{soon(victim(0), 3), soon(victim(1), 40)}, Free: Res{0, 0, 2}}, patient), 0, 1, 1},
+		{"what may not be stopped can be awaited", snap(Machine{Victims: []Victim{{Task: wire.Task{Job: "req-8"}, Rank: 2, Takes: whole, LeftS: 2}}}, patient), 0, 0, 1},
 		{"a full machine is cleared", snap(full, Job{Spec: urgent, Pending: 1, Weight: 8}), 0, 2, 1},
 		{"the half that is free is kept", snap(free, Job{Spec: urgent, Pending: 1, Weight: 8, Claims: 1}, Job{Spec: small, Pending: 2, Weight: 99}), 0, 0, 0},
 		{"the whole is used", snap(Machine{Claims: claim, Free: whole}, Job{Spec: urgent, Pending: 1, Weight: 8, Claims: 1}, Job{Spec: small, Pending: 2, Weight: 99}), 1, 0, 0},
