--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -511,6 +511,9 @@
 	if m.Images[j.Spec.Bundle] == Present {
 		return 0
 	}
+	if !j.Spec.Service() {
+		return fetchS(m, j)
+	}
 	return fetchWeight * fetchS(m, j)
 }
 
