--- a/internal/leader/size_test.go
+++ b/internal/leader/size_test.go
@@ -227,3 +227,19 @@
 		}
 	}
 }
+
+// A class whose aim lets it wait for cheap room gets dear room all the same when
+// that would keep it from beginning within four minutes, and not before. (With 24
+// cheap machines of 40 the backlog grew to 16 minutes.)
+func TestDearRoomForWhatWaitsTooLong(t *testing.T) {
+	tm := sized(t, 30)
+	tm.set.Objectives = []config.Objective{{Kind: "finished", Class: "recon", WithinS: 300, Share: 0.9}}
+	now := time.Now()
+	for _, c := range []struct{ age, wait, want float64 }{{10, 60, 1}, {10, 200, 1}, {10, 260, dearStretch}, {200, 60, dearStretch}} {
+		j := newJob(store.JobRecord{Spec: wire.Spec{ID: "req-9", Lane: "recon", Owner: "red", Shape: wire.Sweep, Parts: 5, CPUs: 2, Standby: true, Expected: 20},
+			At: wire.StampOf(now.Add(-time.Duration(c.age) * time.Second))}, 9)
+		if got := tm.dearer(j, c.wait, now); got != c.want {
+			t.Errorf("waited %g s, %g s more expected: %g, want %g", c.age, c.wait, got, c.want)
+		}
+	}
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -294,6 +294,14 @@
 		v.LeftS = in
 		return v
 	}
+	twoOf := func(s *Snapshot, m Machine) *Snapshot {
+		m.Total, m.PullRate = whole, 1
+		s.Machines = append(s.Machines, m)
+		return s
+	}
+	heavy := *urgent
+	heavy.Bundle, heavy.ImageGB = "i", 1
+	imaged := Job{Spec: &heavy, Pending: 1, Weight: 8, PatienceS: 5}
 	patient := Job{Spec: urgent, Pending: 1, Weight: 8, PatienceS: 5}
 	cases := []struct {
 		name                  string
@@ -303,6 +311,8 @@
 		{"what ends soon is awaited", snap(Machine{Victims: []Victim{soon(victim(0), 3), soon(victim(1), 4)}, Free: Res{0, 0, 2}}, patient), 0, 0, 1},
 		{"one is awaited, the other stopped", snap(Machine{Victims: []Victim{soon(victim(0), 3), soon(victim(1), 40)}, Free: Res{0, 0, 2}}, patient), 0, 1, 1},
 		{"what may not be stopped can be awaited", snap(Machine{Victims: []Victim{{Task: wire.Task{Job: "req-8"}, Rank: 2, Takes: whole, LeftS: 2}}}, patient), 0, 0, 1},
+		{"a fetch is no reason to stop two tasks", twoOf(snap(Machine{Victims: []Victim{soon(victim(0), 3), soon(victim(1), 4)}, Free: Res{0, 0, 2}}, imaged),
+			Machine{ID: "warm", Images: map[wire.ImageID]Image{"i": Present}, Victims: []Victim{soon(victim(2), 40), soon(victim(3), 40)}, Free: Res{0, 0, 2}}), 0, 0, 1},
 		{"a full machine is cleared", snap(full, Job{Spec: urgent, Pending: 1, Weight: 8}), 0, 2, 1},
 		{"the half that is free is kept", snap(free, Job{Spec: urgent, Pending: 1, Weight: 8, Claims: 1}, Job{Spec: small, Pending: 2, Weight: 99}), 0, 0, 0},
 		{"the whole is used", snap(Machine{Claims: claim, Free: whole}, Job{Spec: urgent, Pending: 1, Weight: 8, Claims: 1}, Job{Spec: small, Pending: 2, Weight: 99}), 1, 0, 0},
