--- a/troubles_test.go
+++ b/troubles_test.go
@@ -46,7 +46,7 @@
 func TestDeafMachine(t *testing.T) {
 	for _, inherited := range []bool{false, true} {
 		t.Run(fmt.Sprint("inherited ", inherited), func(t *testing.T) {
-			play(t, 30, func(w *standin.World, at func(time.Duration)) {
+			playBoth(t, 30, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 				s, gone, a := service(1, 4), service(2, 4), array(3, 6, 10)
 				at(2 * time.Second)
 				w.Submit(s, 0)
@@ -124,7 +124,7 @@
 // reports must not be taken for late copies for ever: what it ran is started
 // elsewhere well before its lease or anybody's patience ends.
 func TestMachineBackAtOnce(t *testing.T) {
-	play(t, 32, func(w *standin.World, at func(time.Duration)) {
+	playBoth(t, 32, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 		s, a := service(1, 4), array(2, 8, 60)
 		at(2 * time.Second)
 		w.Submit(s, 0)
@@ -397,7 +397,7 @@
 // A user's connection is at a node that the state service refuses while it
 // serves others: the node says so at once and leaves the load balancer's set.
 func TestUserAtANodeThatCannotAnswer(t *testing.T) {
-	play(t, 34, func(w *standin.World, at func(time.Duration)) {
+	playBoth(t, 34, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 		a := array(1, 2, 100)
 		at(2 * time.Second)
 		w.Submit(a, 0)
--- a/world_test.go
+++ b/world_test.go
@@ -52,6 +52,17 @@
 	playAs(t, standin.DefaultSettings(), seed, script)
 }
 
+// playBoth is play on the usual layout, and on the one where a zone has machines
+// and no controller.
+func playBoth(t *testing.T, seed uint64, script func(t *testing.T, w *standin.World, at func(time.Duration))) {
+	t.Helper()
+	for name, run := range map[string]func(*testing.T, uint64, func(*standin.World, func(time.Duration))){"usual layout": play, "odd layout": playOdd} {
+		t.Run(name, func(t *testing.T) {
+			run(t, seed, func(w *standin.World, at func(time.Duration)) { script(t, w, at) })
+		})
+	}
+}
+
 // playAs is play with settings of the test's own.
 func playAs(t *testing.T, set config.Settings, seed uint64, script func(w *standin.World, at func(time.Duration))) {
 	t.Helper()
@@ -126,7 +137,7 @@
 // A leader's end must not touch services, and its successor must know what
 // ran where.
 func TestLeaderEndsAndRolls(t *testing.T) {
-	play(t, 2, func(w *standin.World, at func(time.Duration)) {
+	playBoth(t, 2, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 		a, s := array(1, 12, 40), service(2, 3)
 		at(2 * time.Second)
 		w.Submit(a, 0)
@@ -192,7 +203,7 @@
 // when the nodes come back.
 func TestOutageWithAllNodesEnding(t *testing.T) {
 	for seed := range uint64(3) {
-		play(t, 20+seed, func(w *standin.World, at func(time.Duration)) {
+		playBoth(t, 20+seed, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 			a, s := array(1, 10, 30), service(2, 3)
 			at(2 * time.Second)
 			w.Submit(a, 0)
@@ -407,7 +418,7 @@
 // A leader cut off from all workers resigns in favour of a node that they
 // reach.
 func TestLeaderCutFromWorkers(t *testing.T) {
-	play(t, 10, func(w *standin.World, at func(time.Duration)) {
+	playBoth(t, 10, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 		s, a := service(1, 3), array(2, 30, 25)
 		at(2 * time.Second)
 		w.Submit(s, 0)
@@ -438,7 +449,7 @@
 // and their machines are kept. (A leader cut off from half of its workers
 // once released them all.)
 func TestWorkersCutFromLeaderOnly(t *testing.T) {
-	play(t, 13, func(w *standin.World, at func(time.Duration)) {
+	playBoth(t, 13, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 		s, a := service(1, 3), array(2, 12, 20)
 		at(2 * time.Second)
 		w.Submit(s, 0)
@@ -465,7 +476,7 @@
 // Nodes restart within a fraction of a second, also in the middle of an
 // election.
 func TestQuickRestarts(t *testing.T) {
-	play(t, 11, func(w *standin.World, at func(time.Duration)) {
+	playBoth(t, 11, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 		a, s := array(1, 10, 30), service(2, 3)
 		at(2 * time.Second)
 		w.Submit(a, 0)
@@ -491,7 +502,7 @@
 	for seed := uint64(100); seed < 108; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 1))
-			play(t, seed, func(w *standin.World, at func(time.Duration)) {
+			playBoth(t, seed, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 				var all []standin.Truth
 				at(2 * time.Second)
 				s := service(900, 3)
