--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -847,8 +847,8 @@
 
 const (
 	// dearStretch is how far beyond the limit a job may rent that would be
-	// late otherwise, if its class's aim is above dearShare. A class that may
-	// miss its time more often waits for cheap room.
+	// late otherwise, if its class's aim is above dearShare or it has waited for
+	// half of startBy.
 	dearStretch = 1.35
 	dearShare   = 0.9
 	// startBy is when every job should have begun, whatever else waits. Half
@@ -913,12 +913,11 @@
 			share = max(share, o.Share)
 		}
 	}
-	if !j.spec.Service() && now.Sub(j.at).Seconds()+wait > startBy.Seconds() {
-		// Cheap room alone never catches up. (With 24 cheap machines of 40 a
-		// backlog of 16 minutes grew, and no ordinary one was rented.)
-		return dearStretch
-	}
-	if j.spec.Service() || share <= dearShare {
+	// A class that may miss its time more often waits for cheap room first, but
+	// not for ever: cheap room alone may never catch up. (With 24 cheap machines
+	// of 40 a backlog of 16 minutes grew, and no ordinary one was rented.)
+	patient := share <= dearShare && now.Sub(j.at) < startBy/2
+	if j.spec.Service() || patient {
 		return 1
 	}
 	boot := math.Inf(1)
