--- a/parted_test.go
+++ b/parted_test.go
@@ -120,7 +120,7 @@
 				for n := range 36 {
 					j := array(10+n, 1+rng.IntN(9), float64(5+rng.IntN(30)))
 					if rng.IntN(4) == 0 {
-						j.Spec.Urgency, j.Spec.CPUs, j.Spec.RAM = wire.Urgent, 4, 14
+						j.Spec.Urgency, j.Spec.CPUs, j.Spec.RAM, j.Spec.Lane, j.Spec.Owner = wire.Urgent, 4, 14, "check", "blue"
 					}
 					cancel := time.Duration(0)
 					if rng.IntN(3) == 0 {
@@ -164,6 +164,7 @@
 					time.Sleep(seconds(10))
 					w.CloudOutage(false)
 				}
+				w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
 				time.Sleep(240 * time.Second)
 				mustFinish(t, w, all...)
 			})
--- a/world_test.go
+++ b/world_test.go
@@ -551,6 +551,7 @@
 						w.State.LoseAnswers(1)
 					}
 				}
+				w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
 				time.Sleep(150 * time.Second)
 				mustFinish(t, w, all...)
 			})
