--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -180,7 +180,7 @@
 			if !l.stoodLately() && l.Mesh.View().Others[lead].Near(now) && l.relay(r.Context(), w, lead, &rep) {
 				return
 			}
-			if back := l.cameBack(rep.Host, now); back && l.stand(w, &rep) {
+			if l.cameBack(rep.Host, now) && l.stand(w, &rep) {
 				return
 			}
 			wire.Answer(w, http.StatusMisdirectedRequest, wire.Elsewhere{ReportsTo: lead})
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -520,13 +520,14 @@
 // othersUntil is until when an earlier leader can have answered a worker that
 // has not seen our token: X after a majority took our token, or B at most. One
 // that never acknowledged a token of ours has had no acknowledgement from us
-// since this term began either, and stops as if alone. (Where one zone holds
-// most controllers no majority is left when it is cut off, and what ran there
-// was once counted for B.)
+// since this term began either, but for a fresh process's empty ones, which say no
+// token for X and count as asked for another 2X; then it stops as if alone. (Where
+// one zone holds most controllers no majority is left when it is cut off, and what
+// ran there was once counted for B.)
 func (t *term) othersUntil() time.Time {
 	other := t.born.Add(peer.B)
 	if t.l.standFor > 0 {
-		other = t.born.Add(max(t.l.standFor, 2*peer.X+time.Second))
+		other = t.born.Add(max(t.l.standFor, 3*peer.X+time.Second))
 	}
 	if !t.acked.IsZero() && t.acked.Add(peer.X).Before(other) {
 		other = t.acked.Add(peer.X)
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -265,8 +265,12 @@
 			if a.job.spec.Service() {
 				pm.Services++
 			}
-			// What does not end is no room to count on.
-			if a.halting && !a.planned && now.Sub(a.haltAt) < t.haltBy(a.windDown) {
+			// What was told to stop and does not end is no room to count on.
+			ending := slices.Contains(awaited, a.task())
+			if a.halting {
+				ending = !a.planned && now.Sub(a.haltAt) < t.haltBy(a.windDown)
+			}
+			if ending {
 				pm.Stopping = pm.Stopping.Plus(a.res())
 			}
 			if a.ready.IsZero() && pm.Images[a.job.spec.Bundle] == placement.Absent {
@@ -275,11 +279,7 @@
 					pm.PullGB += a.job.spec.ImageGB
 				}
 			}
-			if slices.Contains(awaited, a.task()) && !a.halting {
-				pm.Stopping = pm.Stopping.Plus(a.res())
-				continue
-			}
-			if !preempts || a.planned || a.halting || a.job.spec.Service() && a.job.spec.Urgency == wire.Prod {
+			if !preempts || a.planned || a.halting || ending || a.job.spec.Service() && a.job.spec.Urgency == wire.Prod {
 				continue
 			}
 			lost := 0.0
--- a/internal/leader/standin_test.go
+++ b/internal/leader/standin_test.go
@@ -158,6 +158,11 @@
 	if got := since(tm.othersUntil()); got != 22*time.Second {
 		t.Errorf("never acknowledged: %v", got)
 	}
+	tm.l.standFor = 5 * time.Second // less than an empty acknowledgement of a fresh process may count
+	if got := since(tm.othersUntil()); got != 7*time.Second {
+		t.Errorf("never acknowledged, little time to stand in: %v", got)
+	}
+	tm.l.standFor = 22 * time.Second
 	tm.acked = tm.born.Add(3 * time.Second)
 	if got := since(tm.othersUntil()); got != 5*time.Second {
 		t.Errorf("acknowledged after 3 s: %v", got)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -90,7 +90,7 @@
 	Victims  []Victim
 	Cordoned bool // takes tasks of arrays only when no other machine can
 	// Claims is room that is being made here, Stopping what the tasks take that
-	// are being stopped. Until a claim is used nothing of its rank or below
+	// are being stopped or awaited. Until a claim is used nothing of its rank or below
 	// takes that room. (Two tasks of two processors were stopped for one of
 	// four; they ended one after the other, and each time another of two took
 	// the half that was free. One day stopped 84,361 tasks that way.)
--- a/parted_test.go
+++ b/parted_test.go
@@ -114,7 +114,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 3))
 			playOdd(t, 500+seed, func(w *standin.World, at func(time.Duration)) {
-				seconds := func(most int) time.Duration { return time.Duration(rng.IntN(1000*most)) * time.Millisecond }
+				seconds := within(rng)
 				zones := []wire.Zone{"a", "b", "c"}
 				var all []standin.Truth
 				for n := range 36 {
@@ -122,10 +122,8 @@
 					if rng.IntN(4) == 0 {
 						j.Spec.Urgency, j.Spec.CPUs, j.Spec.RAM, j.Spec.Lane, j.Spec.Owner = wire.Urgent, 4, 14, "check", "blue"
 					}
-					cancel := time.Duration(0)
-					if rng.IntN(3) == 0 {
-						cancel = time.Second + seconds(40)
-					} else {
+					cancel := mayCancel(rng)
+					if cancel == 0 {
 						all = append(all, j)
 					}
 					at(time.Duration(3+4*n)*time.Second + seconds(4))
--- a/troubles_test.go
+++ b/troubles_test.go
@@ -342,6 +342,19 @@
 	})
 }
 
+// within draws times of up to so many seconds.
+func within(rng *rand.Rand) func(seconds int) time.Duration {
+	return func(most int) time.Duration { return time.Duration(rng.IntN(1000*most)) * time.Millisecond }
+}
+
+// mayCancel draws when a job is cancelled; 0: it is not.
+func mayCancel(rng *rand.Rand) time.Duration {
+	if rng.IntN(3) != 0 {
+		return 0
+	}
+	return time.Second + within(rng)(40)
+}
+
 // Seeded cuts of a zone, from seconds to well over a lease and the time for
 // cancellations, with the cloud or the state service away, leaders that end and
 // jobs that are cancelled meanwhile. WORLD_SEEDS asks for more of them.
@@ -351,16 +364,14 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 2))
 			playAs(t, sized(5), 300+seed, func(w *standin.World, at func(time.Duration)) {
-				seconds := func(most int) time.Duration { return time.Duration(rng.IntN(1000*most)) * time.Millisecond }
+				seconds := within(rng)
 				s, all := service(1, 4), []standin.Truth{}
 				at(2 * time.Second)
 				w.Submit(s, 0)
 				for n := range 30 {
 					j := array(10+n, 1+rng.IntN(8), float64(5+rng.IntN(30)))
-					cancel := time.Duration(0)
-					if rng.IntN(3) == 0 {
-						cancel = time.Second + seconds(40)
-					} else {
+					cancel := mayCancel(rng)
+					if cancel == 0 {
 						all = append(all, j)
 					}
 					at(time.Duration(3+5*n)*time.Second + seconds(5))
