Leases are renewed only by who knows every cancellation of before D ago

Cause: a leader that the state service refused alone, and that went on serving in the outage after it, renewed leases for up to B (60 s) without knowing of what other nodes had confirmed in between; B and a lease exceed cancel_s. One rule now for blind service, standing in and recovery (package cancels): known by a read of the state service, or by the word of every other node in its unbroken life. What is known is halted in the answer that renews the lease, also without the state service.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -15,6 +15,7 @@
 	"github.com/julienschmidt/httprouter"
 	"golang.org/x/time/rate"
 
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/config"
 	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
@@ -25,6 +26,7 @@
 	set     *config.Settings
 	store   *store.Client
 	live    *store.Copy
+	ledger  *cancels.Ledger
 	flavors func() []wire.Flavor
 	log     *slog.Logger
 	// stage holds the requests in work; a full stage refuses at once.
@@ -37,9 +39,9 @@
 
 // New makes an intake. The stage is small: what waits in it waits for the
 // state service, which takes milliseconds.
-func New(set *config.Settings, st *store.Client, flavors func() []wire.Flavor, log *slog.Logger) *Intake {
+func New(set *config.Settings, st *store.Client, ledger *cancels.Ledger, flavors func() []wire.Flavor, log *slog.Logger) *Intake {
 	return &Intake{
-		set: set, store: st, live: store.NewCopy(st, set.State.RPS, set.Size), flavors: flavors, log: log,
+		set: set, store: st, live: store.NewCopy(st, ledger, set.State.RPS, set.Size), ledger: ledger, flavors: flavors, log: log,
 		counts:  newCounts(set),
 		stage:   make(chan struct{}, max(8, min(48, set.Limits.FDLimit/20))),
 		Observe: func(string, int, time.Duration) {},
@@ -147,6 +149,15 @@
 	f.young[s.ID] = s
 }
 
+// confirm remembers a state that a user is about to be told. A cancellation is
+// noted before, so that this node's word to the others covers it.
+func (in *Intake) confirm(s wire.JobState) {
+	if s.Status == wire.Cancelled {
+		in.ledger.Note(s.ID, 0)
+	}
+	in.finals.put(s)
+}
+
 // Routes adds the users' paths.
 func (in *Intake) Routes(r *httprouter.Router) {
 	r.POST("/v1/jobs", in.staged("submit", in.submit))
@@ -286,7 +297,7 @@
 	l, err := in.live.Get(ctx, id)
 	if err == nil {
 		s := wire.JobState{ID: id, Status: l.Status}
-		in.finals.put(s)
+		in.confirm(s)
 		return s, nil
 	}
 	if !errors.Is(err, store.ErrMissing) {
@@ -361,7 +372,7 @@
 			return unavailable
 		}
 		if rec.Status == wire.Cancelled {
-			in.finals.put(wire.JobState{ID: id, Status: wire.Cancelled})
+			in.confirm(wire.JobState{ID: id, Status: wire.Cancelled})
 			continue
 		}
 		rec.Status, rec.Ended = wire.Cancelled, wire.StampOf(time.Now())
@@ -373,7 +384,7 @@
 		switch {
 		case err == nil:
 			in.log.Info("cancelled by its user", "job", id)
-			in.finals.put(wire.JobState{ID: id, Status: wire.Cancelled})
+			in.confirm(wire.JobState{ID: id, Status: wire.Cancelled})
 			return answer{status: http.StatusOK, body: wire.JobBrief{ID: id, Status: wire.Cancelled}}
 		case errors.As(err, &conflict):
 			continue // done or cancelled meanwhile
--- a/internal/leader/hearing_test.go
+++ b/internal/leader/hearing_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/cloud"
 	"lilaclead/internal/config"
 	"lilaclead/internal/peer"
@@ -194,7 +195,7 @@
 		nw := standin.NewNetwork(time.Millisecond)
 		mesh := func(name wire.NodeID, i, other int, to wire.NodeID, leads bool) *peer.Mesh {
 			m := peer.New(name, []config.Other{{HostName: to, Addr: standin.NodeIP(other) + ":8081"}},
-				func() peer.Self { return peer.Self{Leads: leads} }, nw.Host(standin.NodeIP(i)), tm.l.Log)
+				func() peer.Self { return peer.Self{Leads: leads} }, cancels.New(nil, time.Minute), nw.Host(standin.NodeIP(i)), tm.l.Log)
 			l, err := nw.Host(standin.NodeIP(i)).Listen("tcp4", standin.NodeIP(i)+":8081")
 			if err != nil {
 				t.Fatal(err)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -13,6 +13,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/cloud"
 	"lilaclead/internal/config"
 	"lilaclead/internal/netio"
@@ -29,6 +30,7 @@
 	Store   *store.Client
 	Cloud   *cloud.Client
 	Mesh    *peer.Mesh
+	Cancels *cancels.Ledger
 	Tuning  *tuning.Box
 	Flavors *FlavorBox
 	Log     *slog.Logger
@@ -88,6 +90,8 @@
 	// lost; own is its word to itself, from when it led.
 	standFor time.Duration
 	own      atomic.Pointer[peer.Grant]
+	// renewFor is D of the rule by which a lease may be renewed.
+	renewFor time.Duration
 	// sentOn is when workers were last sent on to a leader that is not heard.
 	sentOn struct {
 		sync.Mutex
@@ -100,7 +104,7 @@
 	l := &Leader{
 		Deps:   d,
 		nonce:  rand.Text(),
-		turned: make(chan wire.MachineID, 64), standFor: standFor(d.Config.Settings.Workers),
+		turned: make(chan wire.MachineID, 64), standFor: standFor(d.Config.Settings.Workers), renewFor: renewFor(d.Config.Settings.Workers),
 		direct: &http.Client{Transport: d.Net.Bounded(max(16, d.Sockets), 2*probeTimeout).Transport(2, max(4, d.Sockets/2))},
 		lines:  make(chan struct{}, max(4, d.Sockets/3)), asks: make(chan struct{}, max(2, d.Sockets/6)),
 	}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -436,7 +436,16 @@
 		}
 		return
 	}
-	if !t.deciding() || !t.recovered {
+	if !t.recovered {
+		return
+	}
+	for _, a := range m.tasks {
+		if a.halting && !a.planned && (a.haltSent.IsZero() || now.Sub(a.haltSent) > 2*time.Second) {
+			t.dispatch(m)
+			break
+		}
+	}
+	if !t.deciding() {
 		return
 	}
 	if m.failed {
@@ -471,9 +480,6 @@
 		if !m.notice.IsZero() && spec.Service() && !a.halting {
 			t.halt(a, 0, "its machine is taken")
 		}
-		if a.halting && a.haltSent.IsZero() || a.halting && now.Sub(a.haltSent) > 2*time.Second {
-			t.dispatch(m)
-		}
 		if a.lost && !a.seen && (a.halting || m.drain != "") && now.Sub(a.at) > 6*time.Second {
 			t.wantRaise = true
 		}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -80,7 +80,11 @@
 		h.reply <- reply{refused: "can't tell whether this node still leads"}
 		return
 	}
-	o := &wire.Orders{Baton: t.token, Orders: []wire.Order{}}
+	if !t.l.mayRenew(now) {
+		h.reply <- reply{refused: "can't tell what was cancelled"}
+		return
+	}
+	o := &wire.Orders{Baton: t.token, Orders: t.l.haltsFor(&h.rep)}
 	if _, gone := t.gone[h.rep.Host]; gone {
 		// Released, and the cloud said so: only a late copy can come.
 		h.reply <- reply{refused: "this machine was returned"}
@@ -119,6 +123,10 @@
 	m.relayed = h.relayed
 	t.listen(m, &h.rep, now)
 	t.apply(m, &h.rep, true, now)
+	if t.withheld(m, &h.rep, now) {
+		h.reply <- reply{refused: "a cancelled task may still start there"}
+		return
+	}
 	m.answered = now
 	m.hearing.told, m.hearing.shift, m.hearing.tally = t.token, h.rep.Shift, h.rep.Tally
 	if t.deciding() {
@@ -420,7 +428,9 @@
 
 // dispatch sends what is new for a machine straight to it.
 func (t *term) dispatch(m *machine) {
-	if m.busy || m.addr == "" || m.upAt.IsZero() || m.releasing || !t.deciding() {
+	// Without the state service what is cancelled is still halted.
+	blind := !t.deciding()
+	if m.busy || m.addr == "" || m.upAt.IsZero() || m.releasing || blind && !t.answering() {
 		return
 	}
 	now := time.Now()
@@ -428,13 +438,13 @@
 	var launched []*attempt
 	for task, a := range m.tasks {
 		switch {
-		case a.planned || len(cmd.Orders) >= 400:
+		case a.planned || len(cmd.Orders) >= 400 || blind && !a.job.cancelled:
 		case a.halting:
 			if now.Sub(a.haltSent) > 1500*time.Millisecond {
 				cmd.Orders = append(cmd.Orders, haltOrder(task, a))
 				a.haltSent = now
 			}
-		case !a.sent && !a.inherited && !a.seen && m.drain == "" && !a.job.cancelled:
+		case !blind && !a.sent && !a.inherited && !a.seen && m.drain == "" && !a.job.cancelled:
 			cmd.Orders = append(cmd.Orders, wire.Order{Verb: wire.Launch, Part: task.String(), Try: a.try})
 			a.sent, a.sentShift, a.directBusy = true, m.shift, true
 			launched = append(launched, a)
--- a/internal/leader/safety_test.go
+++ b/internal/leader/safety_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/config"
 	"lilaclead/internal/peer"
 	"lilaclead/internal/store"
@@ -13,12 +14,20 @@
 	"lilaclead/internal/wire"
 )
 
+// known is a ledger of one node that has read the state service.
+func known() *cancels.Ledger {
+	l := cancels.New(nil, time.Minute)
+	l.Read(time.Now())
+	return l
+}
+
 // rig is a term without I/O, with one job of one task held on one machine.
 func rig(tb testing.TB) (*term, *machine, *attempt) {
 	tb.Helper()
 	cfg := &config.Config{Settings: config.Settings{Size: 3, Workers: config.Workers{ReportS: 2, LeaseS: 16, CancelS: 41}, State: config.State{ValueKB: 16}}}
-	l := &Leader{Deps: Deps{Config: cfg, Tuning: tuning.NewBox(), Flavors: &FlavorBox{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	l := &Leader{Deps: Deps{Config: cfg, Cancels: known(), Tuning: tuning.NewBox(), Flavors: &FlavorBox{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Metrics: Metrics{Moved: func(string) {}, Waited: func(string, float64) {}, Fleet: func(string, int) {}, Machines: func(map[string]int) {}}}}
+	l.renewFor = renewFor(cfg.Settings.Workers)
 	tm := newTerm(l, office{token: 50, at: time.Now(), until: time.Now().Add(time.Hour)})
 	tm.recovered = true
 	j := newJob(store.JobRecord{Spec: wire.Spec{ID: "req-1", Owner: "red", Shape: wire.Sweep, Parts: 1, CPUs: 1}, At: wire.StampOf(time.Now())}, 1)
--- a/internal/leader/standin.go
+++ b/internal/leader/standin.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"lilaclead/internal/config"
@@ -24,13 +25,51 @@
 
 // standFor is how long a node may stand in for a leader that it has lost.
 func standFor(w config.Workers) time.Duration {
-	lease := w.LeaseS.Duration()
-	if d := w.CancelS.Duration() - lease - lease/500 - standMargin; d > 2*peer.X {
+	if d := leaseLeaves(w); d > 2*peer.X {
 		return d
 	}
 	return 0
 }
 
+// leaseLeaves is what a lease leaves of the time for cancellations, less drift
+// and margin.
+func leaseLeaves(w config.Workers) time.Duration {
+	lease := w.LeaseS.Duration()
+	return w.CancelS.Duration() - lease - lease/500 - standMargin
+}
+
+// renewFor is D of the rule in package cancels. Where a lease leaves next to
+// nothing, it is the time in which halts themselves get there.
+func renewFor(w config.Workers) time.Duration { return max(leaseLeaves(w), 2*peer.X) }
+
+// mayRenew tells whether a worker's lease may be renewed now, by whoever
+// answers it and whyever it may: every cancellation that any node confirmed
+// before D ago is known here. (A leader that the state service refused alone
+// and that went on serving in the outage after it renewed leases for B without
+// knowing of what other nodes had confirmed in between.)
+func (l *Leader) mayRenew(now time.Time) bool {
+	at := l.Cancels.Known()
+	return !at.IsZero() && now.Sub(at) < l.renewFor
+}
+
+// haltsFor is what a node that may start nothing tells a worker with the
+// renewal of its lease: to halt what is known to be cancelled.
+func (l *Leader) haltsFor(rep *wire.Report) []wire.Order {
+	out := []wire.Order{}
+	for i := range rep.Parts {
+		p := &rep.Parts[i]
+		task, err := wire.ParseTask(p.Part)
+		if err != nil || p.Phase == wire.Exited {
+			continue
+		}
+		if _, ok := l.Cancels.At(task.Job); ok {
+			zero := wire.Seconds(0)
+			out = append(out, wire.Order{Verb: wire.Halt, Part: p.Part, Try: p.Try, WindDown: &zero})
+		}
+	}
+	return out
+}
+
 // mayStandIn tells whether this node may answer a worker that has seen the
 // token in the leader's stead, and with which token: the newest that it knows
 // of, from a leader that it has not heard since.
@@ -40,7 +79,7 @@
 	if own := l.own.Load(); own != nil && own.Token >= g.Token {
 		g = *own
 	}
-	ok := g.Token > 0 && g.Token == v.Token && baton <= g.Token && now.Sub(g.Sent) < l.standFor && now.Sub(v.Led) >= 2*peer.X
+	ok := g.Token > 0 && g.Token == v.Token && baton <= g.Token && now.Sub(g.Sent) < l.standFor && now.Sub(v.Led) >= 2*peer.X && l.mayRenew(now)
 	return g.Token, ok
 }
 
@@ -68,7 +107,7 @@
 	if !ok {
 		return nil
 	}
-	return &wire.Orders{Baton: token, Orders: []wire.Order{}}
+	return &wire.Orders{Baton: token, Orders: l.haltsFor(rep)}
 }
 
 // stoodLately tells whether workers stayed with this node because it stood in:
@@ -86,11 +125,87 @@
 	return 0
 }
 
+// Unproven is since when there are cancellations of which a launch may still be
+// on its way unseen: nobody can halt that by what a report shows. Zero: none.
+func (l *Leader) Unproven() time.Time {
+	if t := l.term.Load(); t != nil {
+		return t.unprovenAt()
+	}
+	return time.Time{}
+}
+
+func (t *term) unprovenAt() time.Time {
+	if at := t.unproven.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// learnCancels takes in cancellations that were heard of by whatever way. The
+// record itself is read when the state service is there.
+func (t *term) learnCancels() {
+	var ids []wire.JobID
+	ids, t.noted = t.l.Cancels.Since(t.noted)
+	for _, id := range ids {
+		j := t.jobs[id]
+		if j == nil || j.cancelled {
+			continue
+		}
+		j.cancelled, j.stale = true, true
+		j.cancelAt, _ = t.l.Cancels.At(id)
+		t.log().Info("hears of a cancellation", "job", id, "deciding", t.deciding())
+		if t.recovered {
+			t.chase(j)
+		}
+	}
+	t.proveCancels()
+}
+
+// proveCancels finds the cancelled jobs of which a launch may be on its way.
+func (t *term) proveCancels() {
+	var first time.Time
+	for j := range t.chasing {
+		if j.held == 0 {
+			delete(t.chasing, j)
+			continue
+		}
+		if first.IsZero() || j.cancelAt.Before(first) {
+			for _, a := range j.attempts() {
+				if !a.planned && (!a.seen || a.lost || a.directBusy) {
+					first = j.cancelAt
+					break
+				}
+			}
+		}
+	}
+	t.unproven.Store(&first)
+}
+
+// withheld tells whether a machine's lease must not be renewed any more: a
+// launch of a cancelled task may be on its way there that its report does not
+// show, and that only the end of the session, or a token above the launch's,
+// can keep from starting too late.
+func (t *term) withheld(m *machine, rep *wire.Report, now time.Time) bool {
+	for task, a := range m.tasks {
+		if !a.job.cancelled || a.planned || now.Sub(a.job.cancelAt) < t.l.renewFor || !a.directBusy && !(a.lost && t.token <= a.lostToken) {
+			continue
+		}
+		name := task.String()
+		if !slices.ContainsFunc(rep.Parts, func(p wire.PartState) bool { return p.Part == name && p.Try == a.try }) {
+			return true
+		}
+	}
+	return false
+}
+
 // renewed notes a renewal of the office that was asked for at sent: until a
 // while after it this node may stand in for itself.
 func (t *term) renewed(sent time.Time) {
 	t.until.Store(int64(lease(sent).Sub(t.born)))
 	if token := wire.Token(t.grants.Load()); token > 0 {
+		if at := t.unprovenAt(); !at.IsZero() && at.Before(sent) {
+			sent = at
+		}
 		t.l.own.Store(&peer.Grant{Token: token, Sent: sent})
 	}
 }
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -33,17 +33,19 @@
 // term is one time in office. Its loop owns everything below the line; the
 // helpers that do I/O hand their results back through the inbox.
 type term struct {
-	l       *Leader
-	permit  wire.GrantID
-	born    time.Time
-	until   atomic.Int64  // since born
-	blind   atomic.Int64  // since born: until then reports may be answered without the state service
-	grants  atomic.Uint64 // the token under which others may stand in; 0: none yet
-	hellos  chan hello
-	inbox   chan func()
-	over    chan struct{}
-	endOnce sync.Once
-	why     string
+	l      *Leader
+	permit wire.GrantID
+	born   time.Time
+	until  atomic.Int64  // since born
+	blind  atomic.Int64  // since born: until then reports may be answered without the state service
+	grants atomic.Uint64 // the token under which others may stand in; 0: none yet
+	// unproven: see Leader.Unproven.
+	unproven atomic.Pointer[time.Time]
+	hellos   chan hello
+	inbox    chan func()
+	over     chan struct{}
+	endOnce  sync.Once
+	why      string
 
 	// ---- owned by the loop ----
 	ctx       context.Context
@@ -69,6 +71,8 @@
 
 	dirty      map[*chunk]struct{} // differ from what is stored
 	closing    map[*job]struct{}   // can be archived
+	chasing    map[*job]struct{}   // cancelled, with attempts that may be on machines
+	noted      uint64              // what of the ledger of cancellations has been taken in
 	writing    bool
 	retryAt    time.Time
 	bookAt     time.Time // when bookkeeping may be written again
@@ -91,7 +95,7 @@
 		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{},
 		machines: map[wire.MachineID]*machine{}, gone: map[wire.MachineID]time.Time{},
 		cutAt: map[wire.Zone]time.Time{}, heard: map[wire.Zone]heard{}, dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
-		claimed: map[*machine]struct{}{},
+		claimed: map[*machine]struct{}{}, chasing: map[*job]struct{}{},
 	}
 	t.until.Store(int64(o.until.Sub(o.at)))
 	t.fleet.init()
@@ -201,6 +205,7 @@
 		t.acked = now
 	}
 	t.blind.Store(int64(min(until.Sub(t.born), t.blindFor(v, now))))
+	t.learnCancels()
 	if t.deciding() {
 		if !t.blindAt.IsZero() {
 			t.log().Info("state service back", "token", t.token, "away", now.Sub(t.blindAt))
@@ -273,11 +278,15 @@
 // recover reads everything from the state service.
 func (t *term) recover(ctx context.Context) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		jobs, rev, err := t.l.Store.List(ctx, store.Duty, store.JobPrefix)
 		if err == nil {
 			var runs []wire.Entry
 			if runs, _, err = t.l.Store.List(ctx, store.Duty, store.RunPrefix); err == nil {
-				t.post(func() { t.take(jobs, runs) })
+				t.post(func() {
+					t.take(jobs, runs)
+					t.l.Cancels.Read(began)
+				})
 				t.follow(ctx, rev)
 				return
 			}
@@ -290,10 +299,15 @@
 	}
 }
 
+// followFor is how long one watch is open. What it shows is only known to be as
+// new as its beginning, and leases are renewed by that.
+const followFor = time.Second
+
 // follow watches the jobs.
 func (t *term) follow(ctx context.Context, rev wire.Revision) {
 	for ctx.Err() == nil {
-		ch, err := t.l.Store.Watch(ctx, store.JobPrefix, rev, 10*time.Second)
+		began := time.Now()
+		ch, err := t.l.Store.Watch(ctx, store.JobPrefix, rev, followFor)
 		if errors.Is(err, store.ErrTooOld) {
 			t.end("fell behind the changes")
 			return
@@ -308,15 +322,14 @@
 		if ch.Ledger > rev {
 			rev = ch.Ledger
 		}
-		if len(ch.News) > 0 {
-			t.post(func() {
-				for _, c := range ch.News {
-					if c.Put != "" {
-						t.learn(c.Value, c.Stamp)
-					}
+		t.post(func() {
+			for _, c := range ch.News {
+				if c.Put != "" {
+					t.learn(c.Value, c.Stamp)
 				}
-			})
-		}
+			}
+			t.l.Cancels.Read(began)
+		})
 	}
 }
 
@@ -365,6 +378,8 @@
 		t.apply(t.machine(rep.Host), &rep, true, time.Now())
 	}
 	t.early = nil
+	t.noted = 0
+	t.learnCancels()
 	t.grants.Store(uint64(t.token)) // only now cancellations are known
 	t.probeSome()
 }
@@ -385,10 +400,11 @@
 	if stamp < j.stamp {
 		return
 	}
-	j.stamp, j.stale = stamp, false
+	j.stamp, j.stale = stamp, j.cancelled && rec.Status != wire.Cancelled
+	rec.Tell(t.l.Cancels)
 	if rec.Status == wire.Cancelled && !j.cancelled {
 		j.cancelled = true
-		j.cancelAt = time.Now().Add(-max(0, time.Since(rec.Ended.Time())))
+		j.cancelAt = time.Now().Add(-rec.Cancelled())
 		if t.recovered {
 			t.chase(j)
 		}
@@ -400,6 +416,7 @@
 // looks as if nothing of it were left.
 func (t *term) chase(j *job) {
 	t.log().Info("cancels", "job", j.spec.ID, "held", j.held)
+	t.chasing[j] = struct{}{}
 	for _, a := range j.attempts() {
 		t.halt(a, 0, "cancelled")
 	}
--- a/internal/leader/write_test.go
+++ b/internal/leader/write_test.go
@@ -33,7 +33,7 @@
 		srv := &http.Server{Handler: st, ErrorLog: log.New(io.Discard, "", 0)}
 		go srv.Serve(l) //nolint:errcheck // ends with Close
 		tm.l.Store = store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
-		tm.l.Mesh = peer.New("a", nil, func() peer.Self { return peer.Self{} }, nw.Host("10.0.0.1"), tm.l.Log)
+		tm.l.Mesh = peer.New("a", nil, func() peer.Self { return peer.Self{} }, tm.l.Cancels, nw.Host("10.0.0.1"), tm.l.Log)
 		go tm.l.Mesh.Run(ctx)
 		tm.ctx, tm.l.nonce = ctx, "this life"
 		tm.set.State.TxnOps = 12
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -16,6 +16,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/config"
 	"lilaclead/internal/netio"
 	"lilaclead/internal/wire"
@@ -53,6 +54,12 @@
 	// Stood, in an answer, is how long ago the sender last stood in for a
 	// leader; 0: never in this life.
 	Stood time.Duration `cbor:"stood,omitempty"`
+	// Unproven, in an answer with Grants, is how long ago the first of the
+	// cancellations was confirmed of which a launch may still be on its way
+	// unseen: the while in which to stand in is counted from then.
+	Unproven time.Duration `cbor:"unproven,omitempty"`
+	// In an answer, what the sender knows of cancellations.
+	cancels.Word
 }
 
 // Self is what this node tells the others.
@@ -61,6 +68,8 @@
 	Grants wire.Token
 	Serves bool
 	Hears  int
+	// Unproven since then: see Beat; zero: nothing is.
+	Unproven time.Time
 }
 
 // Other is what is known of another node. Times are steady.
@@ -82,7 +91,9 @@
 // Grant is a leader's word that this node may stand in for it.
 type Grant struct {
 	Token wire.Token
-	Sent  time.Time // when this node asked for it
+	// Sent is when this node asked for it, or earlier: of what was cancelled
+	// before, nothing can start any more.
+	Sent time.Time
 }
 
 // Near tells whether the node was heard lately.
@@ -114,6 +125,7 @@
 	name   wire.NodeID
 	others []config.Other
 	self   func() Self
+	ledger *cancels.Ledger
 	log    *slog.Logger
 	events chan event
 	raise  chan wire.Token
@@ -124,11 +136,11 @@
 }
 
 // New makes a mesh; self is asked before each beat.
-func New(name wire.NodeID, others []config.Other, self func() Self, nw netio.Net, log *slog.Logger) *Mesh {
+func New(name wire.NodeID, others []config.Other, self func() Self, ledger *cancels.Ledger, nw netio.Net, log *slog.Logger) *Mesh {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	m := &Mesh{
-		name: name, others: others, self: self, log: log,
+		name: name, others: others, self: self, ledger: ledger, log: log,
 		events: make(chan event, 16), raise: make(chan wire.Token, 4), born: time.Now(),
 		client: &http.Client{Transport: &http.Transport{
 			Protocols:   &protocols,
@@ -219,7 +231,7 @@
 				cur.Token, cur.Leader = e.beat.Token, ""
 			}
 			if e.ack && e.beat.Grants > 0 && e.beat.Grants == cur.Token {
-				cur.Grant, cur.Led = Grant{e.beat.Grants, e.sent}, o.Heard
+				cur.Grant, cur.Led = Grant{e.beat.Grants, e.sent.Add(-max(0, e.beat.Unproven))}, o.Heard
 			}
 			if !e.ack && e.beat.Leads && e.beat.Token == cur.Token {
 				cur.Leader, cur.Led = e.from, o.Heard
@@ -231,8 +243,11 @@
 				if time.Since(m.born) >= X {
 					answer.Token = cur.Token
 				}
-				if g := m.self().Grants; g > 0 && g == cur.Token {
-					answer.Grants, o.Granted = g, time.Now()
+				if s := m.self(); s.Grants > 0 && s.Grants == cur.Token {
+					answer.Grants, o.Granted = s.Grants, time.Now()
+					if !s.Unproven.IsZero() {
+						answer.Unproven = max(0, time.Since(s.Unproven))
+					}
 				}
 				answer.Stood = m.Stood()
 			}
@@ -318,6 +333,7 @@
 		dog.Reset(silent)
 		select {
 		case at := <-sent:
+			m.ledger.Heard(o.HostName, at, &b.Word)
 			select {
 			case m.events <- event{from: o.HostName, beat: b, ack: true, sent: at}:
 			case <-ctx.Done():
@@ -338,6 +354,7 @@
 	}
 	dec, enc := cbor.NewDecoder(r.Body), cbor.NewEncoder(w)
 	reply := make(chan Beat, 1)
+	told := uint64(0) // what the other was told of the ledger on this stream
 	for {
 		rc.SetReadDeadline(time.Now().Add(silent)) //nolint:errcheck // then the stream ends later, by itself
 		var b Beat
@@ -351,6 +368,7 @@
 		}
 		select {
 		case a := <-reply:
+			a.Word, told = m.ledger.Word(told)
 			if enc.Encode(a) != nil || rc.Flush() != nil {
 				return
 			}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/config"
 	"lilaclead/internal/standin"
 	"lilaclead/internal/wire"
@@ -40,7 +41,7 @@
 		protocols.SetUnencryptedHTTP2(true)
 		var servers []*http.Server
 		node := func(name, other wire.NodeID, ip, otherIP string, leads bool) *Mesh {
-			m := New(name, []config.Other{{HostName: other, Addr: otherIP + ":1"}}, func() Self { return Self{Leads: leads, Grants: map[bool]wire.Token{true: 7}[leads], Serves: true} }, nw.Host(ip), log)
+			m := New(name, []config.Other{{HostName: other, Addr: otherIP + ":1"}}, func() Self { return Self{Leads: leads, Grants: map[bool]wire.Token{true: 7}[leads], Serves: true} }, cancels.New(nil, time.Minute), nw.Host(ip), log)
 			l, err := nw.Host(ip).Listen("tcp4", ip+":1")
 			if err != nil {
 				t.Fatal(err)
--- a/internal/store/copy.go
+++ b/internal/store/copy.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/wire"
 )
 
@@ -15,9 +16,10 @@
 // state service was then. All who ask meanwhile share the next look, and the
 // cost of polls no longer grows with their number.
 type Copy struct {
-	c    *Client
-	asks chan chan error
-	gap  time.Duration
+	c      *Client
+	ledger *cancels.Ledger
+	asks   chan chan error
+	gap    time.Duration
 
 	mu   sync.RWMutex
 	live map[wire.JobID]Live
@@ -36,8 +38,8 @@
 
 // NewCopy makes a copy. All nodes' looks together take a quarter of the
 // service's rate at most.
-func NewCopy(c *Client, rps float64, size int) *Copy {
-	return &Copy{c: c, asks: make(chan chan error, 64), live: map[wire.JobID]Live{},
+func NewCopy(c *Client, ledger *cancels.Ledger, rps float64, size int) *Copy {
+	return &Copy{c: c, ledger: ledger, asks: make(chan chan error, 64), live: map[wire.JobID]Live{},
 		gap: time.Duration(float64(time.Second) * float64(max(1, size)) / max(1, rps/4))}
 }
 
@@ -79,6 +81,7 @@
 func (y *Copy) look(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
+	began := time.Now()
 	if y.rev > 0 {
 		ch, err := y.c.changes(ctx, User, y.c.http, JobPrefix, y.rev, 0, copyTimeout)
 		if err == nil {
@@ -92,6 +95,7 @@
 				}
 			}
 			y.rev = max(y.rev, ch.Ledger)
+			y.ledger.Read(began)
 			return nil
 		}
 		if !errors.Is(err, ErrTooOld) {
@@ -109,6 +113,7 @@
 		y.put(e.Value, e.Stamp)
 	}
 	y.rev = rev
+	y.ledger.Read(began)
 	return nil
 }
 
@@ -116,7 +121,11 @@
 // revision that the next look starts from.
 func (y *Copy) put(v wire.Raw, stamp wire.Revision) {
 	var rec JobRecord
-	if wire.Decode(v, &rec) == nil && stamp >= y.live[rec.Spec.ID].Stamp {
+	if wire.Decode(v, &rec) != nil {
+		return
+	}
+	rec.Tell(y.ledger)
+	if stamp >= y.live[rec.Spec.ID].Stamp {
 		y.live[rec.Spec.ID] = Live{rec.Status, stamp}
 	}
 }
--- a/internal/store/copy_test.go
+++ b/internal/store/copy_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/config"
 	"lilaclead/internal/standin"
 	"lilaclead/internal/store"
@@ -29,7 +30,7 @@
 		c.Observe = func(string, string, time.Duration) {
 			calls.Store(time.Now().UnixNano()+int64(rand.Uint32()%1000), true)
 		}
-		y := store.NewCopy(c, 40, 1) // a look every tenth of a second at most
+		y := store.NewCopy(c, cancels.New(nil, time.Minute), 40, 1) // a look every tenth of a second at most
 		go y.Run(ctx)
 
 		model := map[wire.JobID]wire.Status{}
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -3,7 +3,9 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/wire"
 )
 
@@ -55,6 +57,16 @@
 	Chunk int `cbor:"chunk,omitempty"`
 }
 
+// Tell notes the job's cancellation, if it is cancelled.
+func (r *JobRecord) Tell(l *cancels.Ledger) {
+	if r.Status == wire.Cancelled {
+		l.Note(r.Spec.ID, r.Cancelled())
+	}
+}
+
+// Cancelled is how long ago the job was cancelled, by clocks that may be off.
+func (r *JobRecord) Cancelled() time.Duration { return max(0, time.Since(r.Ended.Time())) }
+
 // ChunkTasks is how many tasks a chunk of the job's progress has.
 func (r *JobRecord) ChunkTasks() int {
 	if r.Chunk < 1 || r.Chunk > ChunkSize {
--- a/node.go
+++ b/node.go
@@ -19,6 +19,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"lilaclead/internal/admin"
+	"lilaclead/internal/cancels"
 	"lilaclead/internal/cloud"
 	"lilaclead/internal/config"
 	"lilaclead/internal/intake"
@@ -79,9 +80,14 @@
 	set := &cfg.Settings
 	n.store = store.New(cfg.Endpoints.State, set.State, set.Size, n.net)
 	n.cloud = cloud.New(cfg.Endpoints.Cloud, set.Cloud, n.net)
+	var others []wire.NodeID
+	for _, o := range cfg.Others {
+		others = append(others, o.HostName)
+	}
+	ledger := cancels.New(others, set.Workers.CancelS.Duration())
 	n.mesh = peer.New(cfg.HostName, cfg.Others, func() peer.Self {
-		return peer.Self{Leads: n.leader.Leads(), Grants: n.leader.Grants(), Serves: n.store.Reachable(), Hears: n.leader.Hears()}
-	}, n.net, n.log)
+		return peer.Self{Leads: n.leader.Leads(), Grants: n.leader.Grants(), Serves: n.store.Reachable(), Hears: n.leader.Hears(), Unproven: n.leader.Unproven()}
+	}, ledger, n.net, n.log)
 	n.sockets = splitSockets(set.Limits, set.Size)
 	met := admin.NewMetrics()
 	n.store.Observe = met.Call("state")
@@ -89,10 +95,10 @@
 	met.Budget("state requests", func() float64 { calls, _ := n.store.Left(); return calls })
 	met.Budget("state changes", func() float64 { _, writes := n.store.Left(); return writes })
 	n.leader = leader.New(leader.Deps{
-		Config: cfg, Net: n.net, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: met.Leader(),
+		Config: cfg, Net: n.net, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Cancels: ledger, Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: met.Leader(),
 		Sockets: n.sockets.direct, Workers: n.sockets.workers(), Needed: func(workers int) int { return needed(workers, set.Limits, set.Size) },
 	})
-	n.intake = intake.New(set, n.store, n.flavors.Get, n.log)
+	n.intake = intake.New(set, n.store, ledger, n.flavors.Get, n.log)
 	n.intake.Observe = met.Request
 	n.admin = admin.New(cfg, n.store, n.tuning, n.leader, n.mesh, met, n.log)
 	return n, nil
