--- /dev/null
+++ b/internal/cancels/cancels_test.go
@@ -0,0 +1,185 @@
+package cancels
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lilaclead/internal/wire"
+)
+
+func init() { flag.Set("rapid.seed", "20261202") } //nolint:errcheck // rapid defines the flag
+
+// Nodes that confirm cancellations, read the state service or are refused by
+// it, tell each other over streams whose answers come late or never, end, and
+// are back with nothing. The plain model is the list of all that was ever
+// confirmed: whatever a node says it knows, it knows.
+func TestKnownIsKnown(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) { known3(rt) })
+	})
+}
+
+const modelCancel = 20 * time.Second
+
+type confirmation struct {
+	job wire.JobID
+	at  time.Time
+}
+
+func known3(t *rapid.T) {
+	names := []wire.NodeID{"a", "b", "c"}
+	fresh := func(i int) *Ledger {
+		var others []wire.NodeID
+		for k, n := range names {
+			if k != i {
+				others = append(others, n)
+			}
+		}
+		return New(others, modelCancel)
+	}
+	type answer struct {
+		sent time.Time
+		w    Word
+	}
+	var ls [3]*Ledger
+	var told [3][3]uint64        // by whom, to whom
+	var under [3][3][]answer     // on their way on the stream that is open
+	var confirmed []confirmation // by anyone, in order
+	for i := range ls {
+		ls[i] = fresh(i)
+	}
+	breaks := func(i int) {
+		for k := range ls {
+			told[i][k], told[k][i] = 0, 0
+			under[i][k], under[k][i] = nil, nil
+		}
+	}
+	for step := range rapid.IntRange(10, 120).Draw(t, "steps") {
+		i := rapid.IntRange(0, 2).Draw(t, "node")
+		k := (i + rapid.IntRange(1, 2).Draw(t, "other")) % 3
+		switch rapid.IntRange(0, 9).Draw(t, "what") {
+		case 0, 1:
+			id := wire.JobID(fmt.Sprintf("req-%d", step))
+			ls[i].Note(id, 0)
+			confirmed = append(confirmed, confirmation{id, time.Now()})
+		case 2:
+			// A read takes a while, and tells what was stored when it began.
+			began := time.Now()
+			stored := confirmed
+			time.Sleep(time.Duration(rapid.IntRange(0, 900).Draw(t, "read")) * time.Millisecond)
+			for _, c := range stored {
+				ls[i].Note(c.job, time.Since(c.at))
+			}
+			ls[i].Read(began)
+		case 3, 4, 5:
+			// k asks i, whose answer is made after a moment.
+			sent := time.Now()
+			time.Sleep(time.Duration(rapid.IntRange(0, 200).Draw(t, "ask")) * time.Millisecond)
+			var w Word
+			w, told[i][k] = ls[i].Word(told[i][k])
+			under[i][k] = append(under[i][k], answer{sent, w})
+		case 6, 7:
+			for _, a := range under[i][k] {
+				ls[k].Heard(names[i], a.sent, &a.w)
+			}
+			under[i][k] = nil
+		case 8:
+			if rapid.IntRange(0, 3).Draw(t, "ends") == 0 {
+				ls[i] = fresh(i)
+			}
+			breaks(i) // or its links only
+		case 9:
+			time.Sleep(time.Duration(rapid.IntRange(0, 8000).Draw(t, "wait")) * time.Millisecond)
+		}
+		for n, l := range ls {
+			until := l.Known()
+			if until.After(time.Now()) {
+				t.Fatalf("%s knows the future", names[n])
+			}
+			for _, c := range confirmed {
+				_, ok := l.At(c.job)
+				if c.at.Before(until) && !ok && time.Since(c.at) < l.keep {
+					t.Fatalf("%s says it knows all until %v ago, but not %s of %v ago", names[n], time.Since(until), c.job, time.Since(c.at))
+				}
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// In an outage the words of all other nodes keep it known; of one that is
+// silent, or back with nothing, only until its last word.
+func TestWordsOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, c := New([]wire.NodeID{"b", "c"}, modelCancel), New([]wire.NodeID{"a", "c"}, modelCancel), New([]wire.NodeID{"a", "b"}, modelCancel)
+		time.Sleep(time.Second)
+		a.Read(time.Now())
+		var fromB, fromC uint64
+		word := func(from wire.NodeID, l *Ledger, cursor *uint64) {
+			var w Word
+			w, *cursor = l.Word(*cursor)
+			a.Heard(from, time.Now(), &w)
+		}
+		for range 30 {
+			time.Sleep(time.Second)
+			b.Note(wire.JobID(fmt.Sprint("req-", time.Now().Unix())), 0)
+			word("b", b, &fromB)
+			word("c", c, &fromC)
+		}
+		if ago := time.Since(a.Known()); ago > time.Second {
+			t.Errorf("with the word of all others it is known until %v ago", ago)
+		}
+		last := time.Now()
+		c, fromC = New([]wire.NodeID{"a", "b"}, modelCancel), 0
+		for range 10 {
+			time.Sleep(time.Second)
+			word("b", b, &fromB)
+			word("c", c, &fromC)
+		}
+		if at := a.Known(); !at.Equal(last) {
+			t.Errorf("a node that is back with nothing vouches until %v after its last life's word", at.Sub(last))
+		}
+		a.Read(time.Now())
+		time.Sleep(time.Second)
+		word("b", b, &fromB)
+		word("c", c, &fromC)
+		if ago := time.Since(a.Known()); ago > time.Second {
+			t.Errorf("after a read it is known until %v ago", ago)
+		}
+	})
+}
+
+// What is kept is bounded; a node that had to drop some vouches for less.
+func TestBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New([]wire.NodeID{"b"}, modelCancel)
+		l.Read(time.Now())
+		for n := range most + 100 {
+			l.Note(wire.JobID(fmt.Sprint("req-", n)), 0)
+			time.Sleep(time.Millisecond / 10)
+		}
+		if len(l.log) > most || len(l.known) != len(l.log) {
+			t.Errorf("%d and %d are kept", len(l.log), len(l.known))
+		}
+		w, cursor := l.Word(0)
+		if w.Vouches != 0 || len(w.Cancelled) != wordMost {
+			t.Errorf("the first word of many tells %d and vouches for %v", len(w.Cancelled), w.Vouches)
+		}
+		for w.Vouches == 0 {
+			w, cursor = l.Word(cursor)
+		}
+		if w.Vouches >= time.Since(l.log[0].in)+time.Millisecond {
+			t.Errorf("vouches for %v, but the log begins %v ago", w.Vouches, time.Since(l.log[0].in))
+		}
+		time.Sleep(3 * modelCancel)
+		l.Note("req-x", 0)
+		if len(l.log) != 1 {
+			t.Errorf("%d are kept for ever", len(l.log))
+		}
+	})
+}
