--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -30,6 +30,7 @@
 	refused map[string]bool // hosts that get 503
 	loseTxn int             // so many transactions are executed, and their answers lost
 	dropTxn int             // so many are lost before they are executed
+	late    lateWrites
 	maxOps  int
 	valueKB int
 }
@@ -168,6 +169,7 @@
 	s.expire()
 	refuse := s.out || s.refused[hostOf(r.RemoteAddr)]
 	s.mu.Unlock()
+	w = s.slowly(w, r)
 	if r.URL.Path == "/changes" {
 		s.watch(w, r)
 		return
@@ -206,7 +208,9 @@
 				return
 			}
 		}
-		s.txn(w, &t)
+		if !s.troubled(r, &t) {
+			s.txn(w, hostOf(r.RemoteAddr), &t)
+		}
 	case r.URL.Path == "/grants" && r.Method == "POST":
 		var a wire.GrantAsk
 		if wire.Decode(raw, &a) != nil || a.LifeMs < 100 || a.LifeMs > 600_000 {
@@ -294,13 +298,30 @@
 	return m
 }()
 
-func (s *State) txn(w http.ResponseWriter, t *wire.Txn) {
+func (s *State) txn(w http.ResponseWriter, from string, t *wire.Txn) {
 	s.mu.Lock()
 	if s.dropTxn > 0 {
 		s.dropTxn--
 		s.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
+	status, answer := s.execute(from, t)
+	lose := status == http.StatusOK && s.loseTxn > 0
+	if lose {
+		s.loseTxn--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	if status == http.StatusOK {
+		defer s.unsaid(from, t)()
+	}
+	wire.Answer(w, status, answer)
+}
+
+// execute carries a transaction out; call with the lock held.
+func (s *State) execute(from string, t *wire.Txn) (status int, answer any) {
 	var failed []string
 	for _, g := range t.Guards {
 		e := s.keys[g.Key]
@@ -309,16 +330,11 @@
 		}
 	}
 	if failed != nil {
-		rev := s.rev
-		s.mu.Unlock()
-		wire.Answer(w, http.StatusConflict, wire.TxnResult{Ledger: rev, Failed: failed})
-		return
+		return http.StatusConflict, wire.TxnResult{Ledger: s.rev, Failed: failed}
 	}
 	for _, x := range t.Writes {
 		if x.Put != "" && x.Permit != 0 && s.grants[x.Permit] == nil {
-			s.mu.Unlock()
-			wire.Answer(w, http.StatusBadRequest, wire.Reason{Error: "no such lease"})
-			return
+			return http.StatusBadRequest, wire.Reason{Error: "no such lease"}
 		}
 	}
 	if len(t.Writes) > 0 {
@@ -335,18 +351,10 @@
 		if len(s.changes) > 10_000 {
 			s.changes = append([]change(nil), s.changes[len(s.changes)-10_000:]...)
 		}
+		s.late.ran(from)
 		s.bump()
 	}
-	rev := s.rev
-	lose := s.loseTxn > 0
-	if lose {
-		s.loseTxn--
-	}
-	s.mu.Unlock()
-	if lose {
-		panic(http.ErrAbortHandler)
-	}
-	wire.Answer(w, http.StatusOK, wire.TxnResult{Ledger: rev})
+	return http.StatusOK, wire.TxnResult{Ledger: s.rev}
 }
 
 func (s *State) watch(w http.ResponseWriter, r *http.Request) {
