--- a/internal/standin/latewrites.go
+++ b/internal/standin/latewrites.go
@@ -20,6 +20,9 @@
 	Most   int      // no more than this; 0: any number
 	// Late is the shortest and the longest delay; zero: at once.
 	Late [2]time.Duration
+	// Hang: the client always waits until it gives up; else every other
+	// connection breaks at once.
+	Hang bool
 }
 
 // Fate of a transaction that a fault hit.
@@ -142,9 +145,9 @@
 	s.mu.Lock()
 	l := &s.late
 	i := slices.IndexFunc(l.faults, func(x TxnFault) bool {
-		return (x.Hosts == nil || slices.Contains(x.Hosts, from)) && f.Changes(x.Prefix)
+		return (x.Hosts == nil || slices.Contains(x.Hosts, from)) && f.Changes(x.Prefix) && (x.Share == 0 || l.rng.Float64() < x.Share)
 	})
-	if i < 0 || l.faults[i].Share > 0 && l.rng.Float64() >= l.faults[i].Share {
+	if i < 0 {
 		s.mu.Unlock()
 		return false
 	}
@@ -175,7 +178,7 @@
 	} else {
 		carryOut()
 	}
-	hang := l.rng.IntN(2) == 0
+	hang := l.rng.IntN(2) == 0 || x.Hang
 	s.mu.Unlock()
 	if hang { // until the client gives up; else the connection breaks at once
 		<-r.Context().Done()
