--- a/meet_state_test.go
+++ b/meet_state_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -277,3 +278,313 @@
 		})
 	}
 }
+
+// once asks one node one time to submit a job or to cancel it, and tells the
+// answer's status. Without an answer nothing is known.
+func once(w *standin.World, j standin.Truth, cancel bool, node int) int {
+	path, body := "/v1/jobs", any(standin.Submission(j.Spec))
+	if cancel {
+		path, body = path+"/"+string(j.Spec.ID)+"/cancel", nil
+		w.Checked(func(c *standin.Checker) { c.CancelAsked(j.Spec.ID) })
+	}
+	status, _, _ := w.Ask(node, "POST", path, body)
+	return status
+}
+
+// mustBeLate checks that one of the transactions was carried out, or refused,
+// after newer ones of the same client had been carried out, and after all that
+// came before it here.
+func mustBeLate(t *testing.T, what string, hit []standin.Fate, after ...time.Time) {
+	t.Helper()
+	for _, f := range hit {
+		if f.Newer > 0 && !slices.ContainsFunc(after, func(x time.Time) bool { return x.IsZero() || !f.Done.After(x) }) {
+			return
+		}
+	}
+	t.Errorf("%s: none came late, after newer ones and after %v: %+v", what, after, hit)
+}
+
+// refusedFor are the fates that failed at a guard on such a key.
+func refusedFor(prefix string) func(*standin.Fate) bool {
+	return func(f *standin.Fate) bool {
+		return tooLate(f) && slices.ContainsFunc(f.Failed, func(k string) bool { return strings.HasPrefix(k, prefix) })
+	}
+}
+
+// A user's changes get no answer and are carried out ten seconds later, when what
+// they speak of has gone on: nothing may come back to life, and a job that was
+// done stays so.
+func TestUsersChangesCarriedOutLate(t *testing.T) {
+	late := func(w *standin.World, node int) {
+		w.State.Trouble(1, standin.TxnFault{Prefix: store.JobPrefix, Hosts: []string{standin.NodeIP(node)}, Most: 1, Late: [2]time.Duration{10 * time.Second, 12 * time.Second}})
+	}
+	for i, kind := range []string{"acceptance, after the job's end", "acceptance, after its cancellation", "acceptance, nobody asks again",
+		"cancellation, after the job's end", "cancellation, after another", "cancellation, nobody asks again"} {
+		t.Run(kind, func(t *testing.T) {
+			meet(t, uint64(600+i), func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				warm, a, small, s := array(1, 8, 10), array(2, 2, 2), array(4, 1, 1), service(3, 3)
+				if i == 2 || i == 4 || i == 5 {
+					a.RunS = 40
+				}
+				if i == 3 {
+					a.RunS = 5
+				}
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(warm, 0) // what it leaves has room for the next
+				at(27 * time.Second)
+				w.Know(a)
+				r := read(t, w, a.Spec.ID)
+				k := i % w.Set.Size
+				var other time.Time
+				switch i {
+				case 0:
+					late(w, k)
+					insist(t, w, a, false, k)
+				case 1:
+					late(w, k)
+					insist(t, w, a, false, k)
+					other, _, _ = insist(t, w, a, true, k+1)
+				case 2:
+					late(w, k)
+					if status := once(w, a, false, k); status == 200 || status == 201 {
+						t.Errorf("answered %d", status)
+					}
+				case 3:
+					insist(t, w, a, false, k)
+					late(w, k)
+					if status := once(w, a, true, k); status == 200 {
+						t.Errorf("answered %d", status)
+					}
+				case 4:
+					insist(t, w, a, false, k)
+					late(w, k)
+					other, _, _ = insist(t, w, a, true, k)
+				case 5:
+					insist(t, w, a, false, k)
+					late(w, k)
+					once(w, a, true, k)
+				}
+				w.Know(small) // something newer of the same node
+				once(w, small, false, k)
+				at(55 * time.Second)
+				rest(w, 75*time.Second) // a cancelled one must be gone by then
+				r.end()
+				over := r.first(2)
+				hit := fates(w, store.JobPrefix+string(a.Spec.ID), func(f *standin.Fate) bool { return f.Late })
+				if len(hit) != 1 || hit[0].Done.IsZero() {
+					t.Fatalf("fates %+v", hit)
+				}
+				switch i {
+				case 0:
+					mustFinish(t, w, a)
+					mustBeLate(t, kind, fates(w, store.JobPrefix, refusedFor("past/")), over)
+				case 1, 4:
+					mustBeLate(t, kind, fates(w, store.JobPrefix, tooLate), over, other)
+				case 2:
+					mustFinish(t, w, a)
+					if hit[0].Status != http.StatusOK || !r.first(1).After(hit[0].Done) || hit[0].Done.Sub(hit[0].Sent) < 10*time.Second {
+						t.Errorf("%+v, first known at %v", hit[0], r.first(1))
+					}
+				case 3:
+					mustFinish(t, w, a)
+					mustBeLate(t, kind, fates(w, store.JobPrefix, refusedFor(store.JobPrefix)), over)
+					if when, _, said := insist(t, w, a, true, k); when.IsZero() || said != wire.Done {
+						t.Errorf("a job that was done is called %s", said)
+					}
+				case 5:
+					if hit[0].Status != http.StatusOK || !over.After(hit[0].Done) {
+						t.Errorf("%+v, first known to be over at %v", hit[0], over)
+					}
+				}
+				w.Checked(func(c *standin.Checker) {
+					if n := c.On(a.Spec.ID); n != 0 {
+						t.Errorf("%d tasks of a job that is over", n)
+					}
+				})
+				mustRun(t, w, s, "afterwards")
+			})
+		})
+	}
+}
+
+// What the leader writes gets no answer and is carried out seconds later, after
+// newer transactions, or after the leader's end: under the grant that is still
+// there, or after another has come.
+func TestLeadersWritesCarriedOutLate(t *testing.T) {
+	type late = [2]time.Duration
+	soon, long := late{2 * time.Second, 2100 * time.Millisecond}, late{6 * time.Second, 12 * time.Second}
+	for i, c := range []struct {
+		what, prefix string
+		late         late
+		ends, lead   bool // the leader ends; the first writes of its key are late too
+	}{
+		{"launch", store.RunPrefix, late{2 * time.Second, 12 * time.Second}, false, false},
+		{"launch, and the new token", store.RunPrefix, long, false, true},
+		{"launch, under a dead leader's grant", store.RunPrefix, soon, true, false},
+		{"launch, after the next leader came", store.RunPrefix, long, true, false},
+		{"end of a job", "past/", long, false, false},
+		{"end of a job, and the new token", "past/", long, false, true},
+		{"end of a job, under a dead leader's grant", "past/", soon, true, false},
+		{"end of a job, after the next leader came", "past/", long, true, false},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			meet(t, uint64(620+i), func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				warm, a, b, s := array(1, 8, 10), array(2, 8, 8), array(4, 4, 5), service(3, 3)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(warm, 0)
+				at(27 * time.Second)
+				l := w.Leader()
+				if l < 0 {
+					t.Fatal("nobody leads")
+				}
+				most := 1
+				if !c.ends {
+					most = 3
+				}
+				faults := []standin.TxnFault{{Prefix: c.prefix, Hosts: []string{standin.NodeIP(l)}, Most: most, Late: c.late, Hang: c.ends}}
+				if c.lead {
+					faults = append(faults, standin.TxnFault{Prefix: store.LeadKey, Hosts: []string{standin.NodeIP(l)}, Most: 2, Late: c.late})
+				}
+				w.State.Trouble(uint64(i), faults...)
+				w.Know(a)
+				r := read(t, w, a.Spec.ID)
+				insist(t, w, a, false, i)
+				var killed, next time.Time
+				if c.ends {
+					for len(w.State.Fates()) == 0 && time.Since(r.first(1)) < 30*time.Second {
+						time.Sleep(5 * time.Millisecond)
+					}
+					w.Kill(l)
+					killed = time.Now()
+					for time.Since(killed) < 6*time.Second {
+						time.Sleep(50 * time.Millisecond)
+						if n := w.Leader(); next.IsZero() && n >= 0 && n != l {
+							next = time.Now()
+						}
+					}
+					w.Up(l)
+				}
+				time.Sleep(10 * time.Second)
+				w.Submit(b, 0)
+				time.Sleep(20 * time.Second)
+				rest(w, 20*time.Second)
+				r.end()
+				mustFinish(t, w, a, b)
+				mustRun(t, w, s, "afterwards")
+				if r.first(2).IsZero() {
+					t.Errorf("nobody was told that the job is done")
+				}
+				hit := fates(w, c.prefix, func(f *standin.Fate) bool { return f.Late && !f.Done.IsZero() })
+				switch {
+				case len(hit) == 0:
+					t.Fatal("nothing was late")
+				case c.ends && c.late == soon:
+					// Carried out between the leader's end and the next one's begin,
+					// which learns from it what nobody was told.
+					if f := hit[0]; f.Status != http.StatusOK || !f.Done.After(killed) || !f.Done.Before(next) {
+						t.Errorf("ended at %v, next at %v: %+v", killed, next, f)
+					}
+				case c.ends:
+					if f := hit[0]; f.Status == http.StatusOK || !f.Done.After(next) || next.IsZero() {
+						t.Errorf("ended at %v, next at %v: %+v", killed, next, f)
+					}
+				default:
+					mustBeLate(t, c.what, fates(w, c.prefix, refusedFor(store.LeadKey)))
+				}
+				if c.lead {
+					mustBeLate(t, "the new token", fates(w, store.LeadKey, refusedFor(store.LeadKey)))
+				}
+			})
+		})
+	}
+}
+
+// Candidates' writes of the leader's key are carried out late: while the office is
+// another's, or still vacant, by a grant that was given up. Nobody may lead by it.
+func TestOfficeTakenLate(t *testing.T) {
+	for i, most := range []int{1, 6} {
+		t.Run(fmt.Sprint(most), func(t *testing.T) {
+			meet(t, uint64(640+i), func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				s, a := service(1, 3), array(2, 6, 15)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(a, 0)
+				at(30 * time.Second)
+				for k := range 2 {
+					l := w.Leader()
+					if l < 0 {
+						t.Fatal("nobody leads")
+					}
+					w.State.Trouble(uint64(10*i+k), standin.TxnFault{Prefix: store.LeadKey, Most: most, Late: [2]time.Duration{2 * time.Second, 12 * time.Second}})
+					w.Kill(l)
+					time.Sleep(20 * time.Second)
+					w.Up(l)
+					time.Sleep(10 * time.Second)
+				}
+				w.Submit(array(3, 4, 5), 0)
+				rest(w, 45*time.Second)
+				mustFinish(t, w, a, array(3, 4, 5))
+				mustRun(t, w, s, "afterwards")
+				hit := fates(w, store.LeadKey, func(f *standin.Fate) bool { return f.Late && !f.Done.IsZero() })
+				dead := fates(w, store.LeadKey, func(f *standin.Fate) bool { return f.Status == http.StatusBadRequest })
+				if len(hit) < 2*most || len(dead) == 0 || slices.ContainsFunc(hit, executed1) {
+					t.Errorf("%d late, %d of them with a dead grant: %+v", len(hit), len(dead), hit)
+				}
+			})
+		})
+	}
+}
+
+func executed1(f standin.Fate) bool { return executed(&f) }
+
+// Of all that all nodes write a share is carried out late, and of the rest the
+// answers of a share are lost, while users submit, cancel and ask, machines are
+// taken and the leader ends.
+func TestLateAndLostTogether(t *testing.T) {
+	meet(t, 650, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		var all []standin.Truth
+		var readers []*reader
+		s := service(900, 3)
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		at(15 * time.Second)
+		w.State.Trouble(7, standin.TxnFault{Share: 0.25, Late: [2]time.Duration{2 * time.Second, 12 * time.Second}}, standin.TxnFault{Share: 0.25})
+		for n := 1; n <= 8; n++ {
+			j := array(n, 1+n%4, float64(4+n%3*8))
+			cancel := time.Duration(0)
+			if n%3 == 0 {
+				cancel = time.Duration(n) * time.Second
+			} else {
+				all = append(all, j)
+			}
+			w.Submit(j, cancel)
+			if n%2 == 0 {
+				readers = append(readers, read(t, w, j.Spec.ID))
+			}
+			time.Sleep(6 * time.Second)
+			switch n {
+			case 3, 6:
+				l := max(0, w.Leader())
+				w.Kill(l)
+				time.Sleep(3 * time.Second)
+				w.Up(l)
+			case 5:
+				w.Take(1, func(bool, int) bool { return true })
+			}
+		}
+		rest(w, 90*time.Second)
+		for _, r := range readers {
+			r.end()
+		}
+		mustFinish(t, w, all...)
+		mustRun(t, w, s, "afterwards")
+		for _, p := range []string{store.JobPrefix, store.RunPrefix} {
+			mustBeLate(t, p, fates(w, p, func(f *standin.Fate) bool { return f.Late }))
+			if len(fates(w, p, func(f *standin.Fate) bool { return !f.Late && executed(f) })) == 0 {
+				t.Errorf("no answer for %s was lost", p)
+			}
+		}
+	})
+}
