--- a/internal/standin/latewrites.go
+++ b/internal/standin/latewrites.go
@@ -219,22 +219,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.bootFactor = 1; on {
-		w.bootFactor = 0.13
+		w.bootFactor = 0.1
 	}
 }
 
-// Youngest is the age of the youngest machine that has a task, and whether there
-// is one.
-func (w *World) Youngest() (time.Duration, bool) {
+// Newest tells of the newest machine that is up how long ago it was rented and how
+// long after that it was up; zero if there is none.
+func (w *World) Newest() (age, boot time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	age, any := time.Duration(0), false
 	for _, m := range w.machines {
-		if old := time.Since(m.rented); m.up && len(m.tasks) > 0 && (!any || old < age) {
-			age, any = old, true
+		if old := time.Since(m.rented); m.up && (boot == 0 || old < age) {
+			age, boot = old, m.upAt.Sub(m.rented)
 		}
 	}
-	return age, any
+	return
 }
 
 // Know makes a job known to the workers and the checker; the test itself is its
@@ -245,3 +244,17 @@
 	w.truths[t.Spec.ID] = &t
 	w.check.Submitted(t.Spec)
 }
+
+// Said is what users were told of a job so far: 0 nothing, 1 that it is accepted,
+// 2 that it is over.
+func (c *Checker) Said(id wire.JobID) int {
+	switch j := c.jobs[id]; {
+	case j == nil:
+		return 0
+	case j.told != "":
+		return 2
+	case j.accepted:
+		return 1
+	}
+	return 0
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,6 +24,7 @@
 	cancel context.CancelFunc
 
 	up       bool
+	upAt     time.Time
 	dead     bool
 	sick     bool
 	notice   time.Time
@@ -77,7 +78,7 @@
 		w.mu.Unlock()
 		return
 	}
-	m.up, m.answered = true, time.Now()
+	m.up, m.upAt, m.answered = true, time.Now(), time.Now()
 	w.mu.Unlock()
 	s := w.serve(m.addr, http.HandlerFunc(m.handle))
 	w.spawn(func() {
--- a/meet_state_test.go
+++ b/meet_state_test.go
@@ -22,19 +22,18 @@
 	rank int // 0: not known, 1: accepted, 2: over
 }
 
-// reader asks the nodes in turn about one job, one question after the other, as
-// fast as they answer: whatever one of them said, none may say anything older
-// afterwards.
+// reader asks the nodes in turn about one job, one question after the other:
+// whatever a user was told before he asked, the answer must not be older. (What
+// he is told while the answer is on its way can't be in it.)
 type reader struct {
+	w     *standin.World
 	stop  chan struct{}
 	ended chan struct{}
 	news  []seen
-	asked int
-	by    [8]int // answers by node
 }
 
 func read(t *testing.T, w *standin.World, id wire.JobID) *reader {
-	r := &reader{stop: make(chan struct{}), ended: make(chan struct{})}
+	r := &reader{w: w, stop: make(chan struct{}), ended: make(chan struct{})}
 	go func() {
 		defer close(r.ended)
 		rank := 0
@@ -45,29 +44,31 @@
 			case <-time.After(250 * time.Millisecond):
 			}
 			n := i % w.Set.Size
+			w.Checked(func(c *standin.Checker) { rank = max(rank, c.Said(id)) })
 			status, raw, _ := w.Ask(n, "GET", "/v1/jobs/"+string(id), nil)
 			var s wire.JobState
-			now := -1
+			now := 0
 			switch {
 			case status == http.StatusNotFound:
-				now = 0
 			case status == http.StatusOK && wire.Decode(raw, &s) == nil:
 				if now = 1; s.Status.Final() {
 					now = 2
 				}
-				w.Checked(func(c *standin.Checker) { c.Polled(id, status, s.Status, time.Now()) })
 			default:
 				continue // no answer says nothing
 			}
-			r.asked++
-			r.by[n]++
-			if now < rank {
-				t.Errorf("%s: node %d says %d %s after %v", id, n, status, s.Status, r.news)
-			}
-			if now > rank {
-				rank = now
-				r.news = append(r.news, seen{time.Now(), n, now})
-			}
+			w.Checked(func(c *standin.Checker) {
+				if now < rank {
+					t.Errorf("%s: node %d says %d %s after %v", id, n, status, s.Status, r.news)
+				}
+				if now > rank || len(r.news) == 0 || now > r.news[len(r.news)-1].rank {
+					rank = max(rank, now)
+					r.news = append(r.news, seen{time.Now(), n, now})
+				}
+				if now >= c.Said(id) {
+					c.Polled(id, status, s.Status, time.Now())
+				}
+			})
 		}
 	}()
 	return r
@@ -80,13 +81,13 @@
 }
 
 // first is when an answer of the rank came first; zero: never.
-func (r *reader) first(rank int) time.Time {
-	for _, n := range r.news {
-		if n.rank >= rank {
-			return n.at
+func (r *reader) first(rank int) (at time.Time) {
+	r.w.Checked(func(*standin.Checker) {
+		if i := slices.IndexFunc(r.news, func(n seen) bool { return n.rank >= rank }); i >= 0 {
+			at = r.news[i].at
 		}
-	}
-	return time.Time{}
+	})
+	return
 }
 
 // insist is a user who submits a job or asks to cancel it again and again at
@@ -588,3 +589,159 @@
 		}
 	})
 }
+
+// New machines are up within two seconds and get work at once while the leader's
+// writes lag (their answers are slow, or lost, or they are carried out late), and
+// the leader ends just then, before it knows what is stored; the machine list does
+// not show the machines yet.
+func TestLeaderEndsAsNewMachinesGetWork(t *testing.T) {
+	for i, kind := range []string{"slow", "lost", "late", "late, soon"} {
+		t.Run(kind, func(t *testing.T) {
+			meet(t, uint64(660+i), func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				s, near, a := service(1, 4), array(2, 4, 12), array(3, 14, 10)
+				near.Spec.SamePlace = true
+				w.QuickBoots(true)
+				at(3 * time.Second)
+				met := 0
+				for k, jobs := range [][]standin.Truth{{s, a}, {near, array(4, 10, 9)}, {array(5, 16, 8)}} {
+					l := w.Leader()
+					if l < 0 {
+						t.Fatal("nobody leads")
+					}
+					host := standin.NodeIP(l)
+					fault := standin.TxnFault{Prefix: store.RunPrefix, Hosts: []string{host}, Hang: true}
+					switch kind {
+					case "slow":
+						w.State.Slow(host, 400*time.Millisecond)
+					case "lost":
+						w.State.Trouble(uint64(k), fault)
+					case "late":
+						fault.Late = [2]time.Duration{2 * time.Second, 12 * time.Second}
+						w.State.Trouble(uint64(k), fault)
+					case "late, soon":
+						fault.Late = [2]time.Duration{time.Second, 2 * time.Second}
+						w.State.Trouble(uint64(k), fault)
+					}
+					before := len(w.State.Fates())
+					for _, j := range jobs {
+						w.Submit(j, 0)
+					}
+					// A machine was up within two seconds, is not listed yet, and a launch
+					// is on its way into the service or its answer on its way back.
+					for begin := time.Now(); time.Since(begin) < 15*time.Second; time.Sleep(5 * time.Millisecond) {
+						under := w.State.Unsaid(host, store.RunPrefix) > 0
+						for _, f := range w.State.Fates()[before:] {
+							under = under || time.Since(f.Sent) < time.Second
+						}
+						if age, boot := w.Newest(); boot > 0 && boot < 2*time.Second && age < w.Set.Cloud.ListLagS.Duration() && under {
+							met++
+							break
+						}
+					}
+					time.Sleep(time.Duration(k*120) * time.Millisecond)
+					w.Kill(l)
+					time.Sleep(7 * time.Second)
+					w.State.Trouble(0)
+					w.State.Slow(host, 0)
+					w.Up(l)
+					time.Sleep(8 * time.Second)
+				}
+				if met < 2 {
+					t.Errorf("the leader ended only %d times while a new machine was up and a launch under way", met)
+				}
+				rest(w, 75*time.Second)
+				mustFinish(t, w, near, a, array(4, 10, 9), array(5, 16, 8))
+				mustRun(t, w, s, "afterwards")
+			})
+		})
+	}
+}
+
+// The state service answers slowly while users cancel and ask, then refuses the
+// leader alone while they go on to cancel, and then everybody, for longer than a
+// cancelled task may last: after the leader alone was refused for a moment, or
+// just when the next one has come and has read nothing yet.
+func TestSlowThenRefusedAloneThenAll(t *testing.T) {
+	for i, kind := range []string{"cancelled while slow", "cancelled while the leader is refused", "the next leader is new"} {
+		t.Run(kind, func(t *testing.T) {
+			meet(t, uint64(670+i), func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				s, a := service(900, 3), array(901, 4, 60)
+				first, second, third := service(1, 2), service(2, 2), service(3, 2)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(a, 0)
+				for _, j := range []standin.Truth{first, second, third} {
+					j.Spec.Owner = "red"
+					w.Know(j)
+					go insist(t, w, j, false, 0)
+				}
+				at(35 * time.Second)
+				l := w.Leader()
+				if l < 0 {
+					t.Fatal("nobody leads")
+				}
+				w.State.Slow("", 600*time.Millisecond)
+				r := read(t, w, first.Spec.ID)
+				at(40 * time.Second)
+				cancelled := []time.Time{}
+				cancel := func(j standin.Truth) {
+					for n := l + 1; ; n++ {
+						if n%w.Set.Size == l {
+							continue
+						}
+						if once(w, j, true, n%w.Set.Size) == 200 {
+							cancelled = append(cancelled, time.Now())
+							w.Checked(func(c *standin.Checker) { c.Told(j.Spec.ID, wire.Cancelled, time.Now()) })
+							return
+						}
+						if time.Sleep(100 * time.Millisecond); n > l+20 {
+							t.Errorf("%s is not cancelled", j.Spec.ID)
+							return
+						}
+					}
+				}
+				cancel(first)
+				for begin := time.Now(); r.first(2).IsZero() && time.Since(begin) < 10*time.Second; {
+					time.Sleep(50 * time.Millisecond)
+				}
+				var refused, outage time.Time
+				if kind != "cancelled while slow" {
+					w.State.Refuse(standin.NodeIP(l), true)
+					refused = time.Now()
+					cancel(second)
+				} else {
+					cancel(second)
+					w.State.Refuse(standin.NodeIP(l), true)
+					refused = time.Now()
+				}
+				if kind == "the next leader is new" {
+					for time.Since(refused) < 20*time.Second && (w.Leader() < 0 || w.Leader() == l) {
+						time.Sleep(5 * time.Millisecond)
+					}
+					if n := w.Leader(); n < 0 || n == l {
+						t.Error("no other node leads")
+					}
+				} else if w.Leader() != l {
+					t.Error("another node leads before the outage")
+				}
+				w.State.Outage(true)
+				outage = time.Now()
+				time.Sleep(65 * time.Second)
+				w.State.Outage(false)
+				w.State.Refuse(standin.NodeIP(l), false)
+				w.State.Slow("", 0)
+				if len(cancelled) != 2 || r.first(2).IsZero() || r.first(2).After(outage) || cancelled[1].After(outage) || (kind != "cancelled while slow") != cancelled[1].After(refused) {
+					t.Errorf("cancelled at %v, read to be at %v, the leader refused at %v and everybody at %v", cancelled, r.first(2), refused, outage)
+				}
+				rest(w, 15*time.Second)
+				b := array(5, 4, 10)
+				w.Submit(b, 0)
+				cancel(third)
+				time.Sleep(60 * time.Second)
+				r.end()
+				mustFinish(t, w, a, b)
+				mustRun(t, w, s, "afterwards")
+			})
+		})
+	}
+}
