Chunks of a job are dropped only once its end is stored

Cause: what the transaction of a job's end had no room for was put among the orphans before the transaction was executed. When it failed (the user cancelled just then) and the record was being read again, the orphans of a live job were dropped. If the next try split the chunks otherwise, it failed at the missing ones for ever, and with it every launch and end written beside it. Ruled out: a second start of what was done (a leader that ends in between starts such tasks again, which is work lost, not two at a time), since the job's record guards its end. TestChunksStayUntilTheEndIsStored fails without the mend.

--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -27,7 +27,8 @@
 	txn     wire.Txn
 	chunks  []*chunk
 	planned []*attempt
-	over    []*job // archived by it
+	over    []*job       // archived by it
+	rest    []wire.Guard // chunks of these that it had no room for
 	orphans int
 }
 
@@ -178,7 +179,7 @@
 		}
 		g := wire.Guard{Key: store.ChunkKey(id, c.n), Stamp: c.stamp}
 		if full(1, 0) {
-			t.fleet.orphans = append(t.fleet.orphans, g)
+			b.rest = append(b.rest, g)
 			continue
 		}
 		b.txn.Guards = append(b.txn.Guards, g)
@@ -237,6 +238,8 @@
 			delete(t.dirty, c)
 		}
 	}
+	// Not before: until its end is stored a job needs all of its chunks.
+	t.fleet.orphans = append(t.fleet.orphans, b.rest...)
 	touched := map[*machine]bool{}
 	for _, a := range b.planned {
 		if a.chunk.holds[a.index] != a {
--- a/internal/leader/write_test.go
+++ b/internal/leader/write_test.go
@@ -171,3 +171,45 @@
 		}
 	})
 }
+
+// The chunks that the transaction of a job's end has no room for are dropped only
+// once that transaction is executed. (They were dropped as well when it had failed,
+// its user having cancelled just then; with the job still live its end then failed
+// for ever at the chunks that were gone, and all that was to be written beside it.)
+func TestChunksStayUntilTheEndIsStored(t *testing.T) {
+	desk(t, func(tm *term, m *machine, st *standin.State, settle func()) {
+		rec := store.JobRecord{Spec: wire.Spec{ID: "req-2", Owner: "red", Shape: wire.Sweep, Parts: 20, CPUs: 1}, Status: wire.Queued, At: wire.StampOf(time.Now()), Chunk: 1}
+		j := newJob(rec, st.Put(store.JobKey("req-2"), rec))
+		tm.jobs[j.spec.ID] = j
+		for n := range j.chunks {
+			c := j.chunk(n)
+			c.state[0] = taskDone
+			c.stamp = st.Put(store.ChunkKey("req-2", n), c.record())
+			j.done++
+		}
+		rec.Status = wire.Cancelled
+		st.Put(store.JobKey("req-2"), rec) // not yet known to the leader
+		st.Slow("", 300*time.Millisecond)
+		tm.checkOver(j)
+		conflicts := 0
+		for range 100 {
+			tm.flush(time.Now())
+			select {
+			case g := <-tm.inbox:
+				g()
+			case <-time.After(50 * time.Millisecond):
+			}
+			if j.stale {
+				conflicts++
+			}
+			if live, chunks := len(st.Keys(store.JobKey("req-2"))), len(st.Keys(store.RunPrefix+"req-2/")); live == 1 && chunks != 20 {
+				t.Errorf("%d of 20 chunks of a live job", chunks)
+				break
+			}
+		}
+		settle()
+		if conflicts == 0 || len(st.Keys(store.PastKey("req-2"))) != 1 || len(st.Keys(store.RunPrefix+"req-2/")) != 0 || ended(tm) {
+			t.Errorf("record read again: %v, final records %v, chunks %v, term over: %v", conflicts > 0, st.Keys(store.PastKey("req-2")), st.Keys(store.RunPrefix+"req-2/"), ended(tm))
+		}
+	})
+}
