Late news of an archived job bring nothing back to life

Cause: a leader that learns of a cancellation by a guard that failed reads the record, ends the job and forgets it. News of the watch that come after that (a slow answer, a watch that was opened again) made a job of it again, whose end then failed, and the term was given up: nobody leads for a grant's life. The same by an answer to the reading that comes after the end, the watch having told first. Ruled out: a start of such a job, since every launch guards the job's record. TestLateNewsOfAnArchivedJob fails without either half of the mend.

--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,7 @@
 	listed    bool // a machine list has come in
 	early     map[wire.MachineID]wire.Report
 	jobs      map[wire.JobID]*job
+	past      map[wire.JobID]bool // archived, and news of them may still come
 	machines  map[wire.MachineID]*machine
 	gone      map[wire.MachineID]time.Time // released, answered 200
 	probed    bool                         // every machine of the first list has been asked
@@ -92,7 +94,7 @@
 		l: l, permit: o.permit, born: o.at, token: o.token, first: o.token,
 		set:    &l.Config.Settings,
 		hellos: make(chan hello, 32), inbox: make(chan func(), 32), over: make(chan struct{}),
-		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{},
+		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{}, past: map[wire.JobID]bool{},
 		machines: map[wire.MachineID]*machine{}, gone: map[wire.MachineID]time.Time{},
 		cutAt: map[wire.Zone]time.Time{}, heard: map[wire.Zone]heard{}, dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
 		claimed: map[*machine]struct{}{}, chasing: map[*job]struct{}{},
@@ -323,16 +325,27 @@
 			rev = ch.Ledger
 		}
 		t.post(func() {
-			for _, c := range ch.News {
-				if c.Put != "" {
-					t.learn(c.Value, c.Stamp)
-				}
-			}
+			t.news(ch.News)
 			t.l.Cancels.Read(began)
 		})
 	}
 }
 
+// news takes in what has changed among the jobs' records.
+func (t *term) news(changes []wire.Change) {
+	for _, c := range changes {
+		if c.Put != "" {
+			t.learn(c.Value, c.Stamp)
+			continue
+		}
+		// The last that comes of a job.
+		id := wire.JobID(strings.TrimPrefix(c.Drop, store.JobPrefix))
+		if delete(t.past, id); t.jobs[id] != nil {
+			t.jobs[id].dropped = true
+		}
+	}
+}
+
 // take builds the term's picture from what was read.
 func (t *term) take(jobs, runs []wire.Entry) {
 	for _, e := range jobs {
@@ -393,6 +406,9 @@
 	}
 	j := t.jobs[rec.Spec.ID]
 	if j == nil {
+		if t.past[rec.Spec.ID] {
+			return // late news of a job that is over
+		}
 		j = newJob(rec, stamp)
 		t.jobs[rec.Spec.ID] = j
 		t.wantRound()
@@ -448,6 +464,7 @@
 	stale     bool // its record has changed in a way not yet read
 	over      bool // to be archived
 	archiving bool
+	dropped   bool // the watch has shown that its record is gone
 	chunks    []*chunk
 	per       int // tasks of a chunk
 	done      int
--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -234,6 +234,9 @@
 		t.log().Info("job over", "job", j.spec.ID, "status", status, "took", time.Since(j.at))
 		delete(t.jobs, j.spec.ID)
 		delete(t.closing, j)
+		if !j.dropped {
+			t.past[j.spec.ID] = true
+		}
 		for _, c := range j.chunks {
 			delete(t.dirty, c)
 		}
@@ -287,7 +290,10 @@
 			case err == nil:
 				t.learn(e.Value, e.Stamp)
 			case errors.Is(err, store.ErrMissing):
-				t.end("a live job's record is gone: " + string(id))
+				// If the watch told of it meanwhile, it may be archived since.
+				if t.jobs[id] == j && j.stale {
+					t.end("a live job's record is gone: " + string(id))
+				}
 			case j.stale:
 				time.AfterFunc(300*time.Millisecond, func() { t.post(func() { t.reread(j) }) })
 			}
--- a/internal/leader/write_test.go
+++ b/internal/leader/write_test.go
@@ -213,3 +213,42 @@
 		}
 	})
 }
+
+// News of a job's record, and the answer to a question for it, may come when the
+// job is archived already, the service being slow at times. They bring nothing back
+// to life and don't end the term.
+func TestLateNewsOfAnArchivedJob(t *testing.T) {
+	for _, watchFirst := range []bool{false, true} {
+		desk(t, func(tm *term, m *machine, st *standin.State, settle func()) {
+			j := tm.jobs["req-1"]
+			rec := store.JobRecord{Spec: j.spec, Status: wire.Cancelled}
+			put := wire.Change{Put: store.JobKey("req-1"), Value: wire.Encode(rec), Stamp: st.Put(store.JobKey("req-1"), rec)}
+			drop := wire.Change{Drop: store.JobKey("req-1"), Stamp: put.Stamp + 1}
+			if watchFirst {
+				// Read again after a guard that failed; the watch tells first, and
+				// the answer comes after the end of the job.
+				st.Slow("", 200*time.Millisecond)
+				tm.reread(j)
+				tm.news([]wire.Change{put})
+				st.Slow("", 0)
+			} else {
+				tm.start(j, m, time.Now())
+			}
+			settle()
+			if len(st.Keys(store.PastKey("req-1"))) != 1 || len(tm.jobs) != 0 {
+				t.Fatalf("not archived: %v, %v", tm.jobs, st.Keys(""))
+			}
+			tm.reread(j) // as one that was under way
+			settle()
+			tm.news([]wire.Change{put})
+			settle()
+			if len(tm.jobs) != 0 || ended(tm) {
+				t.Errorf("watch first %v: jobs %v, term over: %v %s", watchFirst, tm.jobs, ended(tm), tm.why)
+			}
+			tm.news([]wire.Change{drop})
+			if len(tm.past) != 0 {
+				t.Errorf("remembered for ever: %v", tm.past)
+			}
+		})
+	}
+}
