A poll does not say older than what its node has told meanwhile

Ruled out: an older state by the copy or by what is remembered of final states; the look began after the question. Answers of other nodes that are on their way can't know. TestPollBesideCancellation fails without the mend.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -330,6 +330,10 @@
 	}
 	if s.Status == wire.Queued {
 		c := in.count(ctx, id)
+		// While that took its time this node may have told that the job is over.
+		if f, ok := in.finals.get(id); ok {
+			return answer{status: http.StatusOK, body: f}
+		}
 		s.Done, s.Running = c.done, c.running
 		if s.Running > 0 {
 			s.Status = wire.Running
--- a/meet_state_test.go
+++ b/meet_state_test.go
@@ -745,3 +745,64 @@
 		})
 	}
 }
+
+// A job is cancelled at a node that is just looking up what to say of it, with the
+// state service slow: once that node has told that it is cancelled, no answer that
+// it sends later says otherwise.
+func TestPollBesideCancellation(t *testing.T) {
+	meet(t, 690, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		w.Submit(array(100, 2, 10), 0)
+		at(20 * time.Second)
+		const jobs = 12
+		all := make([]standin.Truth, jobs)
+		for k := range all {
+			all[k] = array(k, 1, 300)
+			w.Know(all[k])
+			go insist(t, w, all[k], false, k)
+		}
+		at(40 * time.Second)
+		w.State.Slow("", 500*time.Millisecond)
+		between := 0
+		for k, j := range all {
+			node, path := k%w.Set.Size, "/v1/jobs/"+string(j.Spec.ID)
+			type said struct {
+				sent, at time.Time
+				status   wire.Status
+			}
+			polled := make(chan said, 40)
+			for i := range 40 {
+				go func() {
+					time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+					sent := time.Now()
+					status, raw, _ := w.Ask(node, "GET", path, nil)
+					var s wire.JobState
+					if status != 200 || wire.Decode(raw, &s) != nil {
+						s.Status = ""
+					}
+					polled <- said{sent, time.Now(), s.Status}
+				}()
+			}
+			time.Sleep(300 * time.Millisecond)
+			if status := once(w, j, true, node); status != 200 {
+				t.Fatalf("cancellation answered %d", status)
+			}
+			told := time.Now()
+			w.Checked(func(c *standin.Checker) { c.Told(j.Spec.ID, wire.Cancelled, told) })
+			for range 40 {
+				// Answers of the same moment may cross on their way.
+				p := <-polled
+				if p.sent.Before(told) && p.at.After(told.Add(10*time.Millisecond)) {
+					between++
+				}
+				if p.at.After(told.Add(10*time.Millisecond)) && p.status != "" && p.status != wire.Cancelled {
+					t.Errorf("%s %s: asked %v before and answered %v after it was told to be cancelled", j.Spec.ID, p.status, told.Sub(p.sent), p.at.Sub(told))
+				}
+			}
+		}
+		w.State.Slow("", 0)
+		if between < jobs {
+			t.Errorf("only %d answers were on their way when a cancellation was told", between)
+		}
+		time.Sleep(50 * time.Second)
+	})
+}
