--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -27,7 +27,8 @@
 	txn     wire.Txn
 	chunks  []*chunk
 	planned []*attempt
-	over    []*job // archived by it
+	over    []*job       // archived by it
+	rest    []wire.Guard // chunks of these that it had no room for
 	orphans int
 }
 
@@ -178,7 +179,7 @@
 		}
 		g := wire.Guard{Key: store.ChunkKey(id, c.n), Stamp: c.stamp}
 		if full(1, 0) {
-			t.fleet.orphans = append(t.fleet.orphans, g)
+			b.rest = append(b.rest, g)
 			continue
 		}
 		b.txn.Guards = append(b.txn.Guards, g)
@@ -233,10 +234,15 @@
 		t.log().Info("job over", "job", j.spec.ID, "status", status, "took", time.Since(j.at))
 		delete(t.jobs, j.spec.ID)
 		delete(t.closing, j)
+		if !j.dropped {
+			t.past[j.spec.ID] = true
+		}
 		for _, c := range j.chunks {
 			delete(t.dirty, c)
 		}
 	}
+	// Not before: until its end is stored a job needs all of its chunks.
+	t.fleet.orphans = append(t.fleet.orphans, b.rest...)
 	touched := map[*machine]bool{}
 	for _, a := range b.planned {
 		if a.chunk.holds[a.index] != a {
@@ -284,7 +290,10 @@
 			case err == nil:
 				t.learn(e.Value, e.Stamp)
 			case errors.Is(err, store.ErrMissing):
-				t.end("a live job's record is gone: " + string(id))
+				// If the watch told of it meanwhile, it may be archived since.
+				if t.jobs[id] == j && j.stale {
+					t.end("a live job's record is gone: " + string(id))
+				}
 			case j.stale:
 				time.AfterFunc(300*time.Millisecond, func() { t.post(func() { t.reread(j) }) })
 			}
