--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -75,6 +75,7 @@
 	unread    time.Time // since when every poll failed
 	at        time.Time // of the acceptance
 	began     time.Time // of the first task
+	news      news
 }
 
 // NewChecker makes a checker.
@@ -227,6 +228,7 @@
 	}
 	if j := c.jobs[t.Job]; j != nil && done {
 		j.done[t.Index] = true
+		j.finish()
 	}
 }
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -32,6 +32,7 @@
 	dropTxn int             // so many are lost before they are executed
 	maxOps  int
 	valueKB int
+	limits  limits
 }
 
 type entry struct {
@@ -168,6 +169,10 @@
 	s.expire()
 	refuse := s.out || s.refused[hostOf(r.RemoteAddr)]
 	s.mu.Unlock()
+	if !refuse && !s.limits.admits(1, 0) {
+		wire.Answer(w, http.StatusTooManyRequests, wire.Reason{Error: "too many requests"})
+		return
+	}
 	if r.URL.Path == "/changes" {
 		s.watch(w, r)
 		return
@@ -206,6 +211,11 @@
 				return
 			}
 		}
+		if !s.limits.admits(0, len(t.Writes)) {
+			wire.Answer(w, http.StatusTooManyRequests, wire.Reason{Error: "too many changes"})
+			return
+		}
+		s.limits.await(&t)
 		s.txn(w, &t)
 	case r.URL.Path == "/grants" && r.Method == "POST":
 		var a wire.GrantAsk
@@ -249,6 +259,7 @@
 	if most <= 0 || most > 1000 {
 		most = 1000
 	}
+	most = s.limits.paged(most)
 	s.mu.Lock()
 	var ks []string
 	for k := range s.keys {
@@ -309,6 +320,7 @@
 		}
 	}
 	if failed != nil {
+		s.limits.fails(t)
 		rev := s.rev
 		s.mu.Unlock()
 		wire.Answer(w, http.StatusConflict, wire.TxnResult{Ledger: rev, Failed: failed})
@@ -332,8 +344,8 @@
 			s.keys[x.Put] = &entry{append(wire.Raw(nil), x.Value...), s.rev, x.Permit}
 			s.changes = append(s.changes, change{s.rev, wire.Change{Put: x.Put, Value: append(wire.Raw(nil), x.Value...), Stamp: s.rev}})
 		}
-		if len(s.changes) > 10_000 {
-			s.changes = append([]change(nil), s.changes[len(s.changes)-10_000:]...)
+		if keep := s.limits.kept(); len(s.changes) > keep {
+			s.changes = append([]change(nil), s.changes[len(s.changes)-keep:]...)
 		}
 		s.bump()
 	}
@@ -360,7 +372,7 @@
 		s.expire()
 		res := wire.Changes{Ledger: s.rev, News: []wire.Change{}}
 		silent := s.out || s.refused[hostOf(r.RemoteAddr)]
-		if len(s.changes) > 0 && len(s.changes) == 10_000 && s.changes[0].rev > wire.Revision(after)+1 {
+		if len(s.changes) > 0 && len(s.changes) >= s.limits.kept() && s.changes[0].rev > wire.Revision(after)+1 {
 			s.mu.Unlock()
 			wire.Answer(w, http.StatusGone, wire.Reason{Error: "too old"})
 			return
--- /dev/null
+++ b/meet_users_test.go
@@ -0,0 +1,346 @@
+package lilaclead_test
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// roomy is the default deployment with a state service so fast that questions
+// wait for hardly anything, and answers cross within milliseconds.
+func roomy() config.Settings {
+	s := standin.DefaultSettings()
+	s.State.RPS, s.State.WriteRPS = 4000, 2000
+	return s
+}
+
+// archives tells whether a transaction replaces a job by its final record, and
+// cancels whether it is a user's cancellation of it.
+func archives(x *wire.Txn, id wire.JobID) bool {
+	return slices.ContainsFunc(x.Writes, func(w wire.Write) bool { return w.Drop == store.JobKey(id) })
+}
+
+func cancels(x *wire.Txn, id wire.JobID) bool {
+	return slices.ContainsFunc(x.Writes, func(w wire.Write) bool {
+		var rec store.JobRecord
+		return w.Put == store.JobKey(id) && wire.Decode(w.Value, &rec) == nil && rec.Status == wire.Cancelled
+	})
+}
+
+// Users ask at all nodes within milliseconds, again and again, and repeat the
+// submission, right after a job was accepted, has ended or was confirmed as
+// cancelled. No node may answer anything older, whether it looks at the changes
+// or, as these are kept for too short a time, lists all jobs page by page.
+func TestAllNodesAskedAfterNews(t *testing.T) {
+	cases := []struct {
+		name       string
+		set        config.Settings
+		keep, page int
+	}{
+		{"usual", standin.DefaultSettings(), 0, 0},
+		{"small", standin.GasSettings(), 0, 0},
+		{"fast", roomy(), 0, 0},
+		{"lists", roomy(), 6, 2},
+	}
+	for k, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			playAs(t, c.set, uint64(400+k), func(w *standin.World, at func(time.Duration)) {
+				w.State.Short(c.keep, c.page)
+				l := w.Looks()
+				at(2 * time.Second)
+				// What stays makes the list several pages long.
+				w.Submit(service(900, 3), 0)
+				for n := range 4 {
+					w.Submit(service(901+n, 1), 0)
+				}
+				at(30 * time.Second)
+				var all []standin.Truth
+				for n := range 16 {
+					j := array(1+n, 1+n%2, 3+float64(n%3))
+					all = append(all, j)
+					l.Submit(j, []standin.Cancel{standin.Never, standin.AtOnce, standin.AfterEnd, standin.AtEnd}[n%4], time.Duration(n/4)*130*time.Millisecond)
+					time.Sleep(700 * time.Millisecond)
+				}
+				at(90 * time.Second)
+				done, cancelled := w.Ended(all)
+				if done < 8 || cancelled < 4 || done+cancelled != len(all) {
+					t.Errorf("%d done, %d cancelled of %d", done, cancelled, len(all))
+				}
+				// The news and the questions met: each kind of question left within
+				// 50 ms after each kind of news, and was answered.
+				for _, what := range []string{"accepted poll 200", "accepted submit 200", "done poll 200", "done submit 200", "cancelled poll 200", "cancelled submit 200"} {
+					if l.Count(what) < 16 {
+						t.Errorf("%q only %d times: %s", what, l.Count(what), l.Counts())
+					}
+				}
+			})
+		})
+	}
+}
+
+// A job is cancelled around the moment of its last task's end, by no more than
+// milliseconds: whoever wins, one end is told, and it is the state service's.
+func TestCancelMeetsTheLastEnd(t *testing.T) {
+	for _, set := range []config.Settings{standin.DefaultSettings(), roomy()} {
+		t.Run(fmt.Sprint(set.State.RPS), func(t *testing.T) {
+			playAs(t, set, 410, func(w *standin.World, at func(time.Duration)) {
+				l := w.Looks()
+				l.For = 60 * time.Millisecond
+				warm := array(900, 20, 8)
+				at(2 * time.Second)
+				w.Submit(warm, 0)
+				at(34 * time.Second)
+				var all []standin.Truth
+				for n := range 40 {
+					j := array(1+n, 1+n%2, 2)
+					all = append(all, j)
+					l.Submit(j, standin.AtEnd, time.Duration(n*15)*time.Millisecond)
+					time.Sleep(400 * time.Millisecond)
+				}
+				at(100 * time.Second)
+				done, cancelled := w.Ended(all)
+				if done+cancelled != len(all) {
+					t.Errorf("%d done, %d cancelled of %d", done, cancelled, len(all))
+				}
+				if done < 4 || cancelled < 4 {
+					t.Errorf("%d done, %d cancelled: they did not meet", done, cancelled)
+				}
+				if d, c := l.Count("cancels done"), l.Count("cancels cancelled"); d != done || c != cancelled {
+					t.Errorf("cancellations were answered done %d times of %d, cancelled %d times of %d", d, done, c, cancelled)
+				}
+			})
+		})
+	}
+}
+
+// The two writes cross at the state service itself: a cancellation comes while
+// the final record is on its way, and the final record while a cancellation is.
+func TestCancelCrossesTheFinalRecord(t *testing.T) {
+	for seed := range uint64(3) {
+		playAs(t, standin.DefaultSettings(), 420+seed, func(w *standin.World, at func(time.Duration)) {
+			l := w.Looks()
+			early, late := array(1, 2, 4), array(2, 2, 4)
+			var once sync.Once
+			onItsWay := make(chan struct{})
+			w.State.Delay(func(x *wire.Txn) time.Duration {
+				switch {
+				case archives(x, early.Spec.ID):
+					wait := time.Duration(0)
+					once.Do(func() { close(onItsWay); wait = 120 * time.Millisecond })
+					return wait
+				case cancels(x, late.Spec.ID):
+					return 1200 * time.Millisecond
+				}
+				return 0
+			})
+			at(2 * time.Second)
+			l.Submit(early, standin.Never, 0)
+			l.Submit(late, standin.AtEnd, time.Duration(seed)*20*time.Millisecond)
+			<-onItsWay
+			// The cancellation is confirmed, and asked about everywhere, while the
+			// final record waits.
+			begin := time.Now()
+			status, s := l.Ask(int(seed), "cancel", early)
+			if status != 200 || s.Status != wire.Cancelled || time.Since(begin) > 120*time.Millisecond {
+				t.Errorf("cancel answered %d %s after %v", status, s.Status, time.Since(begin))
+			}
+			at(70 * time.Second)
+			if n := w.State.Lost(func(x *wire.Txn) bool { return archives(x, early.Spec.ID) }); n != 1 {
+				t.Errorf("%d final records failed at a cancellation", n)
+			}
+			if n := w.State.Lost(func(x *wire.Txn) bool { return cancels(x, late.Spec.ID) }); n != 1 {
+				t.Errorf("%d cancellations failed at a final record", n)
+			}
+			w.Checked(func(c *standin.Checker) {
+				if a, b := c.Final(early.Spec.ID), c.Final(late.Spec.ID); a != wire.Cancelled || b != wire.Done {
+					t.Errorf("ended as %q and %q", a, b)
+				}
+			})
+			if keys := append(w.State.Keys("job/"), w.State.Keys("run/")...); len(keys) != 0 {
+				t.Errorf("left over: %v", keys)
+			}
+		})
+	}
+}
+
+// One-task jobs come four a second for minutes, a quarter is cancelled, and the
+// state service holds to its rates. All must begin soon, nothing may be left of
+// them but their final records, and refusals must stay rare.
+func TestManySmallJobs(t *testing.T) {
+	for name, set := range map[string]config.Settings{"usual": standin.DefaultSettings(), "small": standin.GasSettings()} {
+		t.Run(name, func(t *testing.T) {
+			playAs(t, set, 430, func(w *standin.World, at func(time.Duration)) {
+				w.State.Limit(set.State.RPS, set.State.WriteRPS)
+				l := w.Looks()
+				l.For, l.Polls = 0, 3*time.Second
+				at(2 * time.Second)
+				var all []standin.Truth
+				for n := range 600 {
+					j := array(1+n, 1, 3)
+					j.Spec.CPUs = 1
+					all = append(all, j)
+					c, after := standin.Never, time.Duration(0)
+					if n%4 == 0 {
+						c, after = []standin.Cancel{standin.AtOnce, standin.AtEnd}[n/4%2], time.Duration(n%16)*150*time.Millisecond
+					}
+					l.Submit(j, c, after)
+					time.Sleep(250 * time.Millisecond)
+				}
+				w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+				time.Sleep(40 * time.Second)
+				done, cancelled := w.Ended(all)
+				if done+cancelled != len(all) || cancelled < 75 {
+					t.Errorf("%d done, %d cancelled of %d", done, cancelled, len(all))
+				}
+				var waits []time.Duration
+				w.Checked(func(c *standin.Checker) {
+					for _, j := range all[120:] { // by then machines are up
+						if d, ok := c.Waited(j.Spec.ID); ok {
+							waits = append(waits, d)
+						}
+					}
+				})
+				slices.Sort(waits)
+				if p := waits[len(waits)*95/100]; p > 6*time.Second {
+					t.Errorf("of 100 jobs 5 wait more than %v, the longest %v", p, waits[len(waits)-1])
+				}
+				refused, most := w.State.Over()
+				t.Logf("%d done, %d cancelled; waits %v %v %v; refused %d, most requests a second %d; %s", done, cancelled,
+					waits[len(waits)/2], waits[len(waits)*95/100], waits[len(waits)-1], refused, most, l.Counts())
+				if keys := append(w.State.Keys("job/"), w.State.Keys("run/")...); len(keys) != 0 {
+					t.Errorf("left over: %v", keys)
+				}
+				if n := len(w.State.Keys("past/")); n != len(all) {
+					t.Errorf("%d final records of %d", n, len(all))
+				}
+			})
+		})
+	}
+}
+
+// Odd requests get what the page says, at every node, again and again, and also
+// while nodes don't know the machine types yet.
+func TestOddRequests(t *testing.T) {
+	play(t, 440, func(w *standin.World, at func(time.Duration)) {
+		w.CloudOutage(true)
+		n := 500
+		with := func(k string, v any) map[string]any {
+			n++
+			m := standin.Submission(array(n, 1, 1).Spec)
+			if m[k] = v; v == "missing" {
+				delete(m, k)
+			}
+			return m
+		}
+		// ask makes the same request of all nodes, twice.
+		ask := func(what, method, path string, body any, want int, status wire.Status) {
+			t.Helper()
+			for i := range 6 {
+				begin := time.Now()
+				got, raw, h := w.Ask(i%3, method, path, body)
+				var b wire.JobBrief
+				if got != want || got == 200 && (wire.Decode(raw, &b) != nil || b.Status != status) {
+					t.Errorf("%s at node %d: %d %q, want %d %q", what, i%3, got, b.Status, want, status)
+				}
+				if got == 503 && h.Get("Retry-After") == "" {
+					t.Errorf("%s: 503 without Retry-After", what)
+				}
+				if d := time.Since(begin); d > 300*time.Millisecond {
+					t.Errorf("%s at node %d took %v", what, i%3, d)
+				}
+			}
+		}
+		odd := func(known bool) {
+			t.Helper()
+			for k := range standin.Submission(array(1, 1, 1).Spec) {
+				if k == "kits" || k == "site" || k == "dueS" { // may be null, so may be missing
+					continue
+				}
+				ask("without "+k, "POST", "/v1/jobs", with(k, "missing"), 400, "")
+				ask("list for "+k, "POST", "/v1/jobs", with(k, []int{1}), 400, "")
+				ask("null for "+k, "POST", "/v1/jobs", with(k, nil), 400, "")
+			}
+			for k, v := range map[string]any{"kits": 3, "site": 4.5, "dueS": "soon", "parts": 2.5, "cpus": -1.0, "standby": 1, "shape": "gang", "nameId": "req-"} {
+				ask("wrong "+k, "POST", "/v1/jobs", with(k, v), 400, "")
+			}
+			ask("no map", "POST", "/v1/jobs", []int{1}, 400, "")
+			ask("no CBOR", "POST", "/v1/jobs", bytes.Repeat([]byte{0xff}, 9), 400, "")
+			ask("unknown team", "POST", "/v1/jobs", with("owner", "green"), 422, "")
+			ask("a task over the limit", "POST", "/v1/jobs", with("cpus", 41.0), 422, "")
+			large := standin.Submission(service(499, 30).Spec)
+			large["owner"], large["cpus"] = "red", 1.5
+			ask("a service over the limit", "POST", "/v1/jobs", large, 422, "")
+			ask("question for nothing", "GET", "/v1/jobs/req-888888", nil, 404, "")
+			ask("cancel of nothing", "POST", "/v1/jobs/req-888888/cancel", nil, 404, "")
+			want := 422
+			if !known {
+				want = 503
+				ask("good job", "POST", "/v1/jobs", with("cpus", 1.0), 503, "")
+			}
+			ask("fits no type", "POST", "/v1/jobs", with("cpus", 32.0), want, "")
+			ask("unknown type", "POST", "/v1/jobs", with("kits", []string{"huge"}), want, "")
+			ask("no such zone", "POST", "/v1/jobs", with("site", "q"), want, "")
+			ask("fits together with no type", "POST", "/v1/jobs", with("ramGb", 65.0), want, "")
+			ask("image fits no disk", "POST", "/v1/jobs", with("imageGb", 21.0), want, "")
+		}
+		at(3 * time.Second)
+		odd(false)
+		w.CloudOutage(false)
+		at(18 * time.Second)
+		odd(true)
+		// An array may have more tasks than its team's limit.
+		wide, s, gone := array(1, 60, 3), service(2, 2), service(3, 2)
+		for _, j := range []standin.Truth{wide, s, gone} {
+			w.Submit(j, 0)
+		}
+		time.Sleep(2 * time.Second)
+		w.Checked(func(c *standin.Checker) { c.CancelAsked(gone.Spec.ID) })
+		ask("cancel", "POST", "/v1/jobs/"+string(gone.Spec.ID)+"/cancel", nil, 200, wire.Cancelled)
+		at(80 * time.Second)
+		mustFinish(t, w, wide)
+		known := func() {
+			t.Helper()
+			for j, want := range map[*standin.Truth]wire.Status{&wide: wire.Done, &s: wire.Queued, &gone: wire.Cancelled} {
+				ask("repeat of "+string(want), "POST", "/v1/jobs", standin.Submission(j.Spec), 200, want)
+				if want != wire.Queued {
+					ask("cancel of "+string(want), "POST", "/v1/jobs/"+string(j.Spec.ID)+"/cancel", nil, 200, want)
+					ask("poll of "+string(want), "GET", "/v1/jobs/"+string(j.Spec.ID), nil, 200, want)
+				}
+			}
+		}
+		known()
+		// All nodes begin anew, and find the machine types neither in the state
+		// service nor at the cloud.
+		for i := range 3 {
+			w.Kill(i)
+		}
+		w.CloudOutage(true)
+		w.State.Drop(store.FlavorsKey)
+		for i := range 3 {
+			if err := w.Up(i); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		known()
+		odd(false)
+		w.CloudOutage(false)
+		time.Sleep(20 * time.Second)
+		known()
+		mustRun(t, w, s, "after the nodes began anew")
+		for _, k := range w.State.Keys("job/") {
+			if !strings.HasSuffix(k, string(s.Spec.ID)) {
+				t.Errorf("%s was taken in", k)
+			}
+		}
+	})
+}
