--- a/internal/standin/limits.go
+++ b/internal/standin/limits.go
@@ -20,6 +20,7 @@
 	inSecond      int
 	keep, page    int // changes kept and entries of a page, 0: the usual ones
 	delay         func(*wire.Txn) time.Duration
+	slow          func(key string) time.Duration
 	lost          []wire.Txn // transactions whose guards failed
 }
 
@@ -46,6 +47,13 @@
 	s.limits.mu.Unlock()
 }
 
+// Slow makes reads of a key wait before they are looked at, for as long as f says.
+func (s *State) Slow(f func(key string) time.Duration) {
+	s.limits.mu.Lock()
+	s.limits.slow = f
+	s.limits.mu.Unlock()
+}
+
 // Over counts the requests that were refused for the rate, and the most that
 // came within a second.
 func (s *State) Over() (refused, most int) {
@@ -107,6 +115,16 @@
 	}
 }
 
+// read is the delay of a read.
+func (l *limits) read(key string) {
+	l.mu.Lock()
+	f := l.slow
+	l.mu.Unlock()
+	if f != nil {
+		time.Sleep(f(key))
+	}
+}
+
 func (l *limits) fails(t *wire.Txn) {
 	l.mu.Lock()
 	l.lost = append(l.lost, *t)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -186,8 +186,9 @@
 	case r.URL.Path == "/kv":
 		s.list(w, r)
 	case strings.HasPrefix(r.URL.Path, "/kv/"):
-		s.mu.Lock()
 		k := strings.TrimPrefix(r.URL.Path, "/kv/")
+		s.limits.read(k)
+		s.mu.Lock()
 		e, rev := s.keys[k], s.rev
 		var out wire.Entry
 		if e != nil {
