Progress is dropped only when its job is archived indeed

Several jobs that end at a time share a transaction. Chunks of progress for which it had no room were noted as left over at once, when it was only being made. When a user's cancellation of just that job won, the transaction failed, and while the cancelled record was being read again the chunk was dropped: from then on every final record of the job failed at its guard on the chunk, and with it everything that the leader wrote beside it. Nothing was started any more until the leader changed. What was left over of a refused transaction was forgotten as well, and stayed in the state service until then.

Now chunks are noted as left over when the transaction was executed, and those of a transaction that was not are kept for another one.

Ruled out: the cancelled record itself (it was read in time), refusals for the rate (the test sets no rates), a second leader (one term throughout).

--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -27,8 +27,9 @@
 	txn     wire.Txn
 	chunks  []*chunk
 	planned []*attempt
-	over    []*job // archived by it
-	orphans int
+	over    []*job       // archived by it
+	orphans []wire.Guard // what it drops of jobs that are archived
+	later   []wire.Guard // what is to be dropped once it is executed
 }
 
 // flush writes what has changed, in one transaction at a time: final states
@@ -117,7 +118,7 @@
 		t.fleet.orphans = t.fleet.orphans[1:]
 		b.txn.Guards = append(b.txn.Guards, o)
 		b.txn.Writes = append(b.txn.Writes, wire.Write{Drop: o.Key})
-		b.orphans++
+		b.orphans = append(b.orphans, o)
 	}
 	if len(b.txn.Writes) == 0 {
 		return
@@ -153,7 +154,9 @@
 }
 
 // archive replaces a job that is over by its final record. Chunks beyond
-// what one transaction takes are dropped later, as orphans.
+// what one transaction takes are dropped later, as orphans, but not before it is
+// executed: a job that is cancelled meanwhile is archived by another one, whose
+// guards on chunks that are gone would fail for ever.
 func (t *term) archive(b *batch, j *job, full func(n, bytes int) bool) {
 	for _, c := range j.chunks {
 		if c != nil && c.busy {
@@ -178,7 +181,7 @@
 		}
 		g := wire.Guard{Key: store.ChunkKey(id, c.n), Stamp: c.stamp}
 		if full(1, 0) {
-			t.fleet.orphans = append(t.fleet.orphans, g)
+			b.later = append(b.later, g)
 			continue
 		}
 		b.txn.Guards = append(b.txn.Guards, g)
@@ -198,6 +201,7 @@
 	case errors.As(err, &conflict) && conflict.Has(store.LeadKey):
 		t.end("the office is another's")
 	case errors.As(err, &conflict):
+		b.orphans = slices.DeleteFunc(b.orphans, func(g wire.Guard) bool { return conflict.Has(g.Key) }) // gone already
 		t.undo(b)
 		for _, j := range t.jobs {
 			if conflict.Has(store.JobKey(j.spec.ID)) {
@@ -222,6 +226,7 @@
 }
 
 func (t *term) committed(b *batch, rev wire.Revision) {
+	t.fleet.orphans = append(t.fleet.orphans, b.later...)
 	for _, c := range b.chunks {
 		c.stamp, c.busy = rev, false
 	}
@@ -259,6 +264,7 @@
 // undo marks all of a transaction that was not executed as still to be
 // written.
 func (t *term) undo(b *batch) {
+	t.fleet.orphans = append(t.fleet.orphans, b.orphans...)
 	for _, c := range b.chunks {
 		c.busy = false
 		t.mark(c)
