--- a/internal/standin/limits.go
+++ b/internal/standin/limits.go
@@ -21,6 +21,7 @@
 	keep, page    int // changes kept and entries of a page, 0: the usual ones
 	delay         func(*wire.Txn) time.Duration
 	slow          func(key string) time.Duration
+	late          func() time.Duration
 	lost          []wire.Txn // transactions whose guards failed
 }
 
@@ -54,6 +55,14 @@
 	s.limits.mu.Unlock()
 }
 
+// Late makes answers that list keys or changes wait once they are made, for as
+// long as f says: what they tell is that old when they arrive.
+func (s *State) Late(f func() time.Duration) {
+	s.limits.mu.Lock()
+	s.limits.late = f
+	s.limits.mu.Unlock()
+}
+
 // Over counts the requests that were refused for the rate, and the most that
 // came within a second.
 func (s *State) Over() (refused, most int) {
@@ -125,6 +134,16 @@
 	}
 }
 
+// hold is the delay of an answer.
+func (l *limits) hold() {
+	l.mu.Lock()
+	f := l.late
+	l.mu.Unlock()
+	if f != nil {
+		time.Sleep(f())
+	}
+}
+
 func (l *limits) fails(t *wire.Txn) {
 	l.mu.Lock()
 	l.lost = append(l.lost, *t)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -279,6 +279,7 @@
 		page.Entries = append(page.Entries, wire.Entry{Key: k, Value: e.v, Stamp: e.stamp, Permit: e.permit})
 	}
 	s.mu.Unlock()
+	s.limits.hold()
 	wire.Answer(w, http.StatusOK, page)
 }
 
@@ -388,6 +389,7 @@
 		wake := s.wake
 		s.mu.Unlock()
 		if len(res.News) > 0 || timeUp && !silent {
+			s.limits.hold()
 			wire.Answer(w, http.StatusOK, res)
 			return
 		}
--- a/internal/store/copy_test.go
+++ b/internal/store/copy_test.go
@@ -82,3 +82,48 @@
 		nw.Close()
 	})
 }
+
+// A list of several pages is older at its beginning than at its end: what changes
+// meanwhile on a page that was read already must be seen by the next look.
+func TestCopyListedWhileJobsChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		nw, st := standin.NewNetwork(time.Millisecond), standin.NewState(12, 16)
+		srv := serve(t, nw, st)
+		c := store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
+		y := store.NewCopy(c, 1000, 1)
+		go y.Run(ctx)
+		put := func(id wire.JobID, s wire.Status) {
+			st.Put(store.JobKey(id), store.JobRecord{Spec: wire.Spec{ID: id}, Status: s})
+		}
+		for _, id := range []wire.JobID{"req-1", "req-2", "req-3", "req-4", "req-5"} {
+			put(id, wire.Queued)
+		}
+		st.Short(0, 2)
+		pages := 0
+		st.Late(func() time.Duration {
+			if pages++; pages == 1 {
+				put("req-1", wire.Cancelled) // listed already
+				put("req-3", wire.Cancelled) // not yet
+				st.Drop(store.JobKey("req-2"))
+				st.Drop(store.JobKey("req-4"))
+				return 50 * time.Millisecond
+			}
+			return 0
+		})
+		if got, err := y.Get(ctx, "req-5"); err != nil || got.Status != wire.Queued || pages != 2 {
+			t.Errorf("req-5: %v %v after %d pages", got, err, pages)
+		}
+		for id, want := range map[wire.JobID]wire.Status{"req-1": wire.Cancelled, "req-2": "", "req-3": wire.Cancelled, "req-4": "", "req-5": wire.Queued} {
+			got, err := y.Get(ctx, id)
+			if got.Status != want || errors.Is(err, store.ErrMissing) != (want == "") {
+				t.Errorf("%s: %v %v, want %q", id, got, err, want)
+			}
+		}
+		cancel()
+		nw.Close()
+		srv.Close()
+		time.Sleep(5 * time.Second)
+		nw.Close()
+	})
+}
