--- a/meet_users_test.go
+++ b/meet_users_test.go
@@ -463,3 +463,58 @@
 		})
 	}
 }
+
+// A job whose record just fits into a value of the state service can be cancelled
+// as every other, though a cancelled record says more. (Its cancellation was
+// refused for ever.)
+func TestCancelOfTheLargestRecord(t *testing.T) {
+	playAs(t, standin.GasSettings(), 460, func(w *standin.World, at func(time.Duration)) {
+		at(3 * time.Second)
+		large := func(n, bundle int) standin.Truth {
+			j := service(n, 1)
+			j.Spec.Kits = []wire.Kit{"c4", "c16"}
+			for k := range 45 {
+				j.Spec.Kits = append(j.Spec.Kits, wire.Kit(fmt.Sprintf("%080d", k)))
+			}
+			j.Spec.Bundle = wire.ImageID(strings.Repeat("i", bundle))
+			return j
+		}
+		// The longest name of an image with which it is accepted.
+		n, fits := 100, 1
+		for over := 120; over-fits > 1; n++ {
+			mid := (fits + over) / 2
+			j := large(n, mid)
+			switch status, _, _ := w.Ask(n%3, "POST", "/v1/jobs", standin.Submission(j.Spec)); status {
+			case 201:
+				fits = mid
+				w.Checked(func(c *standin.Checker) { c.Submitted(j.Spec); c.CancelAsked(j.Spec.ID) })
+				if status, _, _ := w.Ask(n%3, "POST", "/v1/jobs/"+string(j.Spec.ID)+"/cancel", nil); status != 200 {
+					t.Errorf("with %d bytes the cancellation is answered %d", mid, status)
+				}
+			case 422:
+				over = mid
+			default:
+				t.Errorf("a job of that size is answered %d", status)
+				return
+			}
+		}
+		if fits == 1 || fits >= 118 {
+			t.Errorf("the limit was not met: %d", fits)
+			return
+		}
+		j := large(1, fits)
+		w.Submit(j, 30*time.Second)
+		w.Submit(array(2, 2, 3), 0)
+		at(25 * time.Second)
+		mustRun(t, w, j, "before it is cancelled")
+		at(75 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			if s := c.Final(j.Spec.ID); s != wire.Cancelled || c.On(j.Spec.ID) != 0 {
+				t.Errorf("it is %q, %d tasks run", s, c.On(j.Spec.ID))
+			}
+		})
+		if keys := append(w.State.Keys("job/"), w.State.Keys("run/")...); len(keys) != 0 {
+			t.Errorf("left over: %v", keys)
+		}
+	})
+}
