A job whose record just fits into a value can be cancelled

A cancelled record has one field more than a queued one. Where a long list of machine types makes a record just fit, the state service refused the cancelled one as too large, and the user was answered 503 for ever, while the job ran on. Now the list of types, of no use to a job that is cancelled, is left out when the record is refused as invalid.

Ruled out: a smaller limit at the submission (a job accepted before would still not be cancelled, and its repeated submission would be answered 422).

Fails without it: TestCancelOfTheLargestRecord.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -335,6 +335,7 @@
 	if !id.Valid() {
 		return answer{status: http.StatusNotFound, body: wire.Reason{Error: "no such job"}}
 	}
+	bare := false
 	for range 4 {
 		if s, ok := in.finals.get(id); ok {
 			return answer{status: http.StatusOK, body: wire.JobBrief{ID: id, Status: s.Status}}
@@ -365,6 +366,9 @@
 			continue
 		}
 		rec.Status, rec.Ended = wire.Cancelled, wire.StampOf(time.Now())
+		if bare {
+			rec.Spec.Kits = nil
+		}
 		err = in.commit(ctx, wire.Txn{
 			Guards: []wire.Guard{{Key: store.JobKey(id), Stamp: e.Stamp}},
 			Writes: []wire.Write{{Put: store.JobKey(id), Value: wire.Encode(rec)}},
@@ -377,6 +381,10 @@
 			return answer{status: http.StatusOK, body: wire.JobBrief{ID: id, Status: wire.Cancelled}}
 		case errors.As(err, &conflict):
 			continue // done or cancelled meanwhile
+		case errors.Is(err, store.ErrInvalid) && !bare:
+			// The record just fitted without its end. Nothing of the job is
+			// placed any more, so it can do without its list of types.
+			bare = true
 		default:
 			return unavailable
 		}
