--- a/internal/standin/looks.go
+++ b/internal/standin/looks.go
@@ -104,7 +104,8 @@
 }
 
 // Count tells how often a question was answered with a status, that left
-// within 50 ms after the news: "done submit 200".
+// within 50 ms after the news ("done submit 200"), or after the end of the last
+// task and before anybody was told ("ending submit 200").
 func (l *Looks) Count(what string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -142,8 +143,12 @@
 	if op == "cancel" {
 		w.check.CancelAsked(id)
 	}
-	w.mu.Unlock()
 	fresh := before.accepted && time.Since(at) < 50*time.Millisecond
+	atEnd := false
+	if j := w.check.jobs[id]; j != nil && before.final == "" && !j.news.endedAt.IsZero() {
+		atEnd = time.Since(j.news.endedAt) < 50*time.Millisecond
+	}
+	w.mu.Unlock()
 	status, raw, h := w.Ask(i, method, path, body)
 	if w.ctx.Err() != nil {
 		return 0, wire.JobState{}
@@ -169,6 +174,9 @@
 	if fresh {
 		l.n[fmt.Sprint(before, " ", op, " ", status)]++
 	}
+	if atEnd {
+		l.n[fmt.Sprint("ending ", op, " ", status)]++
+	}
 	l.mu.Unlock()
 	if is != was {
 		l.Swarm(t)
@@ -245,6 +253,13 @@
 			sleep(w.ctx, 4*time.Second)
 			l.Swarm(t)
 		})
+		w.spawn(func() {
+			select {
+			case <-ended:
+				l.Swarm(t)
+			case <-w.ctx.Done():
+			}
+		})
 		switch c {
 		case AtEnd:
 			select {
