--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -34,6 +34,7 @@
 	late    lateWrites
 	maxOps  int
 	valueKB int
+	limits  limits
 }
 
 type entry struct {
@@ -170,6 +171,10 @@
 	s.expire()
 	refuse := s.out || s.refused[hostOf(r.RemoteAddr)]
 	s.mu.Unlock()
+	if !refuse && !s.limits.admits(1, 0) {
+		wire.Answer(w, http.StatusTooManyRequests, wire.Reason{Error: "too many requests"})
+		return
+	}
 	w = s.slowly(w, r)
 	if r.URL.Path == "/changes" {
 		s.watch(w, r)
@@ -184,8 +189,9 @@
 	case r.URL.Path == "/kv":
 		s.list(w, r)
 	case strings.HasPrefix(r.URL.Path, "/kv/"):
-		s.mu.Lock()
 		k := strings.TrimPrefix(r.URL.Path, "/kv/")
+		s.limits.read(k)
+		s.mu.Lock()
 		e, rev := s.keys[k], s.rev
 		var out wire.Entry
 		if e != nil {
@@ -209,6 +215,11 @@
 				return
 			}
 		}
+		if !s.limits.admits(0, len(t.Writes)) {
+			wire.Answer(w, http.StatusTooManyRequests, wire.Reason{Error: "too many changes"})
+			return
+		}
+		s.limits.await(&t)
 		if !s.troubled(r, &t) {
 			s.txn(w, hostOf(r.RemoteAddr), &t)
 		}
@@ -254,6 +265,7 @@
 	if most <= 0 || most > 1000 {
 		most = 1000
 	}
+	most = s.limits.paged(most)
 	s.mu.Lock()
 	var ks []string
 	for k := range s.keys {
@@ -272,6 +284,7 @@
 		page.Entries = append(page.Entries, wire.Entry{Key: k, Value: e.v, Stamp: e.stamp, Permit: e.permit})
 	}
 	s.mu.Unlock()
+	s.limits.hold()
 	wire.Answer(w, http.StatusOK, page)
 }
 
@@ -337,6 +350,7 @@
 		}
 	}
 	if failed != nil {
+		s.limits.fails(t)
 		return http.StatusConflict, wire.TxnResult{Ledger: s.rev, Failed: failed}
 	}
 	if len(t.Writes) > 0 {
@@ -350,8 +364,8 @@
 			s.keys[x.Put] = &entry{append(wire.Raw(nil), x.Value...), s.rev, x.Permit}
 			s.changes = append(s.changes, change{s.rev, wire.Change{Put: x.Put, Value: append(wire.Raw(nil), x.Value...), Stamp: s.rev}})
 		}
-		if len(s.changes) > 10_000 {
-			s.changes = append([]change(nil), s.changes[len(s.changes)-10_000:]...)
+		if keep := s.limits.kept(); len(s.changes) > keep {
+			s.changes = append([]change(nil), s.changes[len(s.changes)-keep:]...)
 		}
 		s.late.ran(from)
 		s.bump()
@@ -370,7 +384,7 @@
 		s.expire()
 		res := wire.Changes{Ledger: s.rev, News: []wire.Change{}}
 		silent := s.out || s.refused[hostOf(r.RemoteAddr)]
-		if len(s.changes) > 0 && len(s.changes) == 10_000 && s.changes[0].rev > wire.Revision(after)+1 {
+		if len(s.changes) > 0 && len(s.changes) >= s.limits.kept() && s.changes[0].rev > wire.Revision(after)+1 {
 			s.mu.Unlock()
 			wire.Answer(w, http.StatusGone, wire.Reason{Error: "too old"})
 			return
@@ -386,6 +400,7 @@
 		s.mu.Unlock()
 		slices.Reverse(res.News) // as in the page's example, which promises no order
 		if len(res.News) > 0 || timeUp && !silent {
+			s.limits.hold()
 			wire.Answer(w, http.StatusOK, res)
 			return
 		}
