--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -26,6 +26,7 @@
 	held      map[[2]string]bool // from, to: packets wait
 	deaf      map[string]bool    // hosts that nothing reaches, though they are heard
 	island    map[string]bool    // hosts that reach only each other
+	filtered  map[[2]string]bool // from, to: connections are refused
 	latency   time.Duration
 }
 
@@ -105,10 +106,10 @@
 		n.mu.Lock()
 		silent := n.down[from] || n.down[hostOf(to)] || n.deaf[hostOf(to)] || n.held[[2]string{from, hostOf(to)}] || n.held[[2]string{hostOf(to), from}] ||
 			n.island[from] != n.island[hostOf(to)]
-		l := n.listeners[to]
+		l, filtered := n.listeners[to], n.filtered[[2]string{from, hostOf(to)}]
 		n.mu.Unlock()
 		if !silent {
-			if l == nil {
+			if l == nil || filtered {
 				return nil, fail(errors.New("connection refused"))
 			}
 			a, b := n.pair(from, to)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -295,7 +295,7 @@
 		case truth.Spec.Service():
 			<-ctx.Done()
 		default:
-			sleep(ctx, time.Duration(truth.RunS*float64(time.Second)))
+			sleep(ctx, time.Duration(truth.runS(t.Index)*float64(time.Second)))
 		}
 		m.w.mu.Lock()
 		defer m.w.mu.Unlock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -26,8 +26,9 @@
 // Truth is what the stand-ins know of a job beside its submission.
 type Truth struct {
 	Spec  wire.Spec
-	RunS  float64 // true run time of a task
-	Fails bool    // its tasks fail on every machine
+	RunS  float64   // true run time of a task
+	Fails bool      // its tasks fail on every machine
+	EachS []float64 // the first tasks' own run times; the others take RunS
 }
 
 // World is a deployment made of stand-ins. One lock guards it all.
