--- a/internal/standin/apart.go
+++ b/internal/standin/apart.go
@@ -119,3 +119,13 @@
 	slices.Sort(out)
 	return out
 }
+
+// Office is the revision of the leader's key, 0 while nobody holds it.
+func (w *World) Office() wire.Revision {
+	w.State.mu.Lock()
+	defer w.State.mu.Unlock()
+	if e := w.State.keys["lead"]; e != nil {
+		return e.stamp
+	}
+	return 0
+}
--- /dev/null
+++ b/meet_leaders_test.go
@@ -0,0 +1,803 @@
+package lilaclead_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"lilaclead/internal/admin"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/wire"
+)
+
+// Meetings of two troubles of which one is a change of leader. Each brings its
+// meeting about by itself and checks that both troubles really were there at
+// once.
+
+// until waits for something to come true, looking every few milliseconds.
+func until(t *testing.T, most time.Duration, what string, f func() bool) {
+	t.Helper()
+	for begin := time.Now(); !f(); time.Sleep(2 * time.Millisecond) {
+		if time.Since(begin) > most {
+			t.Fatalf("%s: not within %v", what, most)
+		}
+	}
+}
+
+// another waits until some other node than this one leads.
+func another(t *testing.T, w *standin.World, than int, most time.Duration) int {
+	t.Helper()
+	until(t, most, "another leader", func() bool { l := w.Leader(); return l >= 0 && l != than })
+	return w.Leader()
+}
+
+// up starts nodes.
+func up(t *testing.T, w *standin.World, nodes ...int) {
+	t.Helper()
+	for _, i := range nodes {
+		if err := w.Up(i); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// cancels asks a node to cancel a job, again and again until it is confirmed,
+// and tells when it was.
+func cancels(t *testing.T, w *standin.World, i int, j standin.Truth) time.Time {
+	t.Helper()
+	id := j.Spec.ID
+	w.Checked(func(c *standin.Checker) { c.CancelAsked(id) })
+	for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(100 * time.Millisecond) {
+		status, raw, _ := w.Ask(i, "POST", "/v1/jobs/"+string(id)+"/cancel", nil)
+		var b wire.JobBrief
+		if status == 200 && wire.Decode(raw, &b) == nil {
+			if b.Status != wire.Cancelled {
+				t.Errorf("%s is called %s when its user cancels it", id, b.Status)
+			}
+			now := time.Now()
+			w.Checked(func(c *standin.Checker) { c.Told(id, b.Status, now) })
+			return now
+		}
+	}
+	t.Fatalf("%s can't be cancelled at node %d", id, i)
+	return time.Time{}
+}
+
+// polls has users ask one node about jobs, twice a second, until the stop: what
+// it answers is checked against what any node has told before.
+func polls(w *standin.World, i int, jobs ...standin.Truth) (answered *int, stop func()) {
+	n, done := 0, make(chan struct{})
+	for _, j := range jobs {
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(500 * time.Millisecond):
+				}
+				status, raw, _ := w.Ask(i, "GET", "/v1/jobs/"+string(j.Spec.ID), nil)
+				var s wire.JobState
+				if status == 404 || status == 200 && wire.Decode(raw, &s) == nil {
+					w.Checked(func(c *standin.Checker) { n++; c.Polled(j.Spec.ID, status, s.Status, time.Now()) })
+				}
+			}
+		}()
+	}
+	return &n, func() { close(done) }
+}
+
+// leads tells whether a node itself says that it leads.
+func leads(t *testing.T, w *standin.World, i int) bool {
+	t.Helper()
+	var v admin.View
+	status, raw, _ := w.Operate(i, "GET", "/admin/view", nil)
+	if status != 200 || wire.Decode(raw, &v) != nil {
+		t.Fatalf("view of node %d: %d", i, status)
+	}
+	return v.Leads
+}
+
+// endOfDay checks, once all troubles are over, that every accepted job which
+// nobody cancelled is answered by every node within 75 s and runs or is done
+// within 90 s, and that all of them, and those named, come to their end.
+func endOfDay(t *testing.T, w *standin.World, size int, all ...standin.Truth) {
+	t.Helper()
+	calm := time.Now()
+	var owed []wire.JobID
+	w.Checked(func(c *standin.Checker) { c.Calm(calm); owed = c.Owed() })
+	for i := range size {
+		for _, id := range owed {
+			until(t, 75*time.Second-time.Since(calm), fmt.Sprintf("node %d answers about %s", i, id), func() bool {
+				status, raw, _ := w.Ask(i, "GET", "/v1/jobs/"+string(id), nil)
+				var s wire.JobState
+				if status != 200 || wire.Decode(raw, &s) != nil {
+					time.Sleep(time.Second)
+					return false
+				}
+				w.Checked(func(c *standin.Checker) { c.Polled(id, status, s.Status, time.Now()) })
+				return true
+			})
+		}
+	}
+	time.Sleep(time.Until(calm.Add(90 * time.Second)))
+	w.Checked(func(c *standin.Checker) {
+		for _, id := range c.Owed() {
+			if !c.Complete(id) && c.On(id) == 0 {
+				t.Errorf("%s neither runs nor is done 90 s after the troubles", id)
+			}
+		}
+	})
+	time.Sleep(80 * time.Second)
+	for _, j := range all {
+		id := j.Spec.ID
+		if j.Spec.Service() {
+			mustRun(t, w, j, "at the end of the day")
+			continue
+		}
+		mustFinish(t, w, j)
+		for i := range size {
+			status, raw, _ := w.Ask(i, "GET", "/v1/jobs/"+string(id), nil)
+			var s wire.JobState
+			if status != 200 || wire.Decode(raw, &s) != nil || s.Status != wire.Done {
+				t.Errorf("node %d answers %d %+v about %s, which is done", i, status, s, id)
+			}
+		}
+	}
+}
+
+// The tasks of small jobs end far apart, with a change of leader between two
+// ends, at different moments after the first: just as it ends, when its report
+// is on its way, when it is being stored, and later. No task is lost, run twice,
+// or called done early, and none that was done is started again.
+func TestTasksEndAcrossAChangeOfLeader(t *testing.T) {
+	ways := map[string]func(t *testing.T, w *standin.World, l int, end func()){
+		"killed": func(t *testing.T, w *standin.World, l int, end func()) {
+			w.Kill(l)
+			another(t, w, l, 10*time.Second)
+			end()
+			up(t, w, l)
+		},
+		"back at once": func(t *testing.T, w *standin.World, l int, end func()) {
+			old := w.Office()
+			w.Kill(l)
+			time.Sleep(200 * time.Millisecond)
+			up(t, w, l)
+			until(t, 10*time.Second, "a new term", func() bool { o := w.Office(); return o > old })
+			end()
+		},
+		"refused by the state service": func(t *testing.T, w *standin.World, l int, end func()) {
+			w.State.Refuse(standin.NodeIP(l), true)
+			another(t, w, l, 10*time.Second)
+			end()
+			time.Sleep(5 * time.Second)
+			w.State.Refuse(standin.NodeIP(l), false)
+		},
+	}
+	for name, change := range ways {
+		for k, afters := range [][]time.Duration{{0, 4 * time.Millisecond, 30 * time.Millisecond}, {400 * time.Millisecond, 0, 3 * time.Second}} {
+			t.Run(fmt.Sprint(name, " ", afters), func(t *testing.T) {
+				playAs(t, sized(3), 60+uint64(k), func(w *standin.World, at func(time.Duration)) {
+					two, three := array(1, 2, 0), array(2, 3, 0)
+					two.EachS, three.EachS = []float64{14, 75}, []float64{16, 48, 80}
+					at(2 * time.Second)
+					w.Submit(two, 0)
+					w.Submit(three, 0)
+					ended := func() (n int) {
+						w.Checked(func(c *standin.Checker) { n = c.Ended(two.Spec.ID) + c.Ended(three.Spec.ID) })
+						return n
+					}
+					// Three of the five ends are met by a change each.
+					for n := 1; n <= 3; n++ {
+						until(t, 80*time.Second, "an end", func() bool { return ended() >= n })
+						time.Sleep(afters[n-1])
+						change(t, w, w.Leader(), func() {
+							if k := ended(); k != n && !(n == 1 && k == 2) {
+								t.Errorf("%d tasks had ended when the next one led, not %d", k, n)
+							}
+						})
+						if ended() == 5 {
+							t.Error("all tasks had ended before the change was over")
+						}
+						time.Sleep(time.Second)
+					}
+					endOfDay(t, w, 3, two, three)
+					w.Checked(func(c *standin.Checker) {
+						if c.Again() != 0 {
+							t.Errorf("%d tasks were started again", c.Again())
+						}
+					})
+				})
+			})
+		}
+	}
+}
+
+// All controllers are away for longer than a lease, one or all come back, and
+// jobs were cancelled just before and are cancelled as soon as one is back: what
+// ran has ended everywhere, is started again once, and the cancelled are not.
+func TestAllControllersAwayBeyondTheLease(t *testing.T) {
+	for _, first := range []int{0, 1, 3} { // how many are back first; 0: the last leader
+		t.Run(fmt.Sprint("first back ", first), func(t *testing.T) {
+			playBoth(t, 61, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				s, a, b := service(1, 4), array(2, 8, 40), array(3, 3, 30)
+				gone, late := service(4, 3), array(5, 4, 100)
+				at(2 * time.Second)
+				for _, j := range []standin.Truth{s, a, gone, late} {
+					w.Submit(j, 0)
+				}
+				at(45 * time.Second)
+				mustRun(t, w, s, "before")
+				w.Submit(b, 0)
+				time.Sleep(100 * time.Millisecond)
+				l := w.Leader()
+				confirmed := cancels(t, w, (l+1)%3, gone)
+				for i := range 3 {
+					w.Kill(i)
+				}
+				if time.Since(confirmed) > 20*time.Millisecond {
+					t.Errorf("cancelled %v before the end of all", time.Since(confirmed))
+				}
+				away := time.Now()
+				time.Sleep(w.Set.Workers.LeaseS.Duration() + 5*time.Second)
+				w.Checked(func(c *standin.Checker) {
+					for _, j := range []standin.Truth{s, a, gone, late} {
+						if c.On(j.Spec.ID) != 0 {
+							t.Errorf("%s is on a machine %v after the end of all", j.Spec.ID, time.Since(away))
+						}
+					}
+				})
+				back := []int{l}
+				if first == 1 {
+					back = []int{(l + 1) % 3}
+				} else if first == 3 {
+					back = []int{0, 1, 2}
+				}
+				up(t, w, back...)
+				cancels(t, w, back[0], late)
+				time.Sleep(10 * time.Second)
+				up(t, w, 0, 1, 2)
+				endOfDay(t, w, 3, s, a, b)
+				w.Checked(func(c *standin.Checker) {
+					if n := c.On(gone.Spec.ID) + c.On(late.Spec.ID); n != 0 {
+						t.Errorf("%d tasks of cancelled jobs", n)
+					}
+				})
+			})
+		})
+	}
+}
+
+// A zone with workers and a controller is cut off for longer than a lease. Jobs
+// that may run in that zone only are cancelled just before, early and late in the
+// cut; one is submitted and cancelled in it; others wait for its end. With the
+// cloud away nobody but those behind the cut can end what runs there.
+func TestOneZoneJobsBehindACut(t *testing.T) {
+	for _, inside := range []bool{false, true} {
+		for _, cloud := range []bool{false, true} {
+			t.Run(fmt.Sprintf("leader inside %v, cloud away %v", inside, cloud), func(t *testing.T) {
+				playOdd(t, 62, func(w *standin.World, at func(time.Duration)) {
+					z := wire.Zone("b") // node 1
+					in := func(j standin.Truth) standin.Truth { j.Spec.Site = z; return j }
+					stays, same := in(array(1, 4, 120)), array(2, 3, 60)
+					same.Spec.SamePlace = true
+					whole := func(j standin.Truth) standin.Truth { j.Spec.Apart = false; return in(j) }
+					before, early, late, unborn := whole(service(3, 2)), whole(service(4, 2)), whole(service(5, 2)), whole(service(6, 2))
+					free := array(7, 6, 30)
+					at(2 * time.Second)
+					if leaderIn(t, w, "a"); inside {
+						leaderIn(t, w, z)
+					}
+					for _, j := range []standin.Truth{stays, same, before, early, late} {
+						w.Submit(j, 0)
+					}
+					time.Sleep(40 * time.Second)
+					w.Submit(free, 0)
+					time.Sleep(5 * time.Second)
+					cancels(t, w, 0, before)
+					cut := time.Now()
+					w.CloudOutage(cloud)
+					w.CutZone(z, true)
+					w.Checked(func(c *standin.Checker) {
+						if c.On(early.Spec.ID) != 2 || c.On(late.Spec.ID) != 2 || c.On(stays.Spec.ID) == 0 {
+							t.Error("not all that should runs in the zone when it is cut off")
+						}
+					})
+					time.Sleep(3 * time.Second)
+					cancels(t, w, 0, early)
+					w.Submit(unborn, 0)
+					time.Sleep(15 * time.Second)
+					cancels(t, w, 0, unborn)
+					confirmed := cancels(t, w, 0, late)
+					if time.Since(cut) > w.Set.Workers.LeaseS.Duration() || !confirmed.After(cut) {
+						t.Errorf("cancelled %v after the cut", confirmed.Sub(cut))
+					}
+					time.Sleep(50 * time.Second)
+					if time.Since(cut) < w.Set.Workers.LeaseS.Duration()*2 {
+						t.Error("the cut was too short")
+					}
+					w.CutZone(z, false)
+					time.Sleep(2 * time.Second)
+					w.CloudOutage(false)
+					endOfDay(t, w, 3, stays, same, free)
+				})
+			})
+		}
+	}
+}
+
+// The office is handed over and back, all controllers end, and one returns
+// within a second, is ended in the middle of its election (its key is written,
+// nothing is read yet), and another one returns.
+func TestHandedOverAllEndOneReturns(t *testing.T) {
+	for _, back := range []time.Duration{50 * time.Millisecond, 450 * time.Millisecond, 950 * time.Millisecond, 3 * time.Second} {
+		for _, same := range []bool{true, false} {
+			t.Run(fmt.Sprintf("back after %v, the same one %v", back, same), func(t *testing.T) {
+				playAs(t, standin.DefaultSettings(), 63, func(w *standin.World, at func(time.Duration)) {
+					s, a, b := service(1, 4), array(2, 6, 50), array(3, 4, 20)
+					gone, fresh := array(4, 4, 200), array(5, 4, 200)
+					at(2 * time.Second)
+					for _, j := range []standin.Truth{s, a, gone, fresh} {
+						w.Submit(j, 0)
+					}
+					at(40 * time.Second)
+					one := w.Leader()
+					w.State.Refuse(standin.NodeIP(one), true)
+					two := another(t, w, one, 10*time.Second)
+					w.State.Refuse(standin.NodeIP(one), false)
+					time.Sleep(500 * time.Millisecond)
+					third := 3 - one - two
+					w.Kill(third) // so that it goes back
+					w.State.Refuse(standin.NodeIP(two), true)
+					if another(t, w, two, 10*time.Second) != one {
+						t.Fatal("not handed back")
+					}
+					w.State.Refuse(standin.NodeIP(two), false)
+					w.Submit(b, 0)
+					time.Sleep(150 * time.Millisecond)
+					cancels(t, w, two, gone)
+					w.Kill(one)
+					w.Kill(two)
+					old := w.Office()
+					time.Sleep(back)
+					i, k := one, two
+					if !same {
+						i, k = two, one
+					}
+					up(t, w, i)
+					until(t, 8*time.Second, "an election", func() bool { return w.Office() > old })
+					old = w.Office()
+					w.Kill(i) // it has taken the office just now
+					if w.Leader() != i {
+						t.Errorf("node %d leads, not %d", w.Leader(), i)
+					}
+					time.Sleep(back)
+					up(t, w, k)
+					// Cancelled while nobody leads: the grant of the one that ended is not over.
+					cancels(t, w, k, fresh)
+					if back < time.Second && w.Office() != old {
+						t.Error("cancelled after the election, not in it")
+					}
+					until(t, 8*time.Second, "the last election", func() bool { return w.Office() > old })
+					time.Sleep(time.Second)
+					up(t, w, 0, 1, 2)
+					endOfDay(t, w, 3, s, a, b)
+					w.Checked(func(c *standin.Checker) {
+						if c.On(s.Spec.ID) != 4 || c.On(gone.Spec.ID)+c.On(fresh.Spec.ID) != 0 {
+							t.Errorf("%d of 4 replicas, %d and %d tasks of cancelled jobs", c.On(s.Spec.ID), c.On(gone.Spec.ID), c.On(fresh.Spec.ID))
+						}
+					})
+				})
+			})
+		}
+	}
+}
+
+// The leader changes ten times in two minutes, every other time inside an outage
+// of the state service, with submissions and cancellations all the while.
+func TestTenLeadersInTwoMinutes(t *testing.T) {
+	playBoth(t, 64, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		s := service(1, 4)
+		all := []standin.Truth{s}
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		at(35 * time.Second)
+		begin := time.Now()
+		inOutage := 0
+		for n := range 10 {
+			j, gone := array(10+n, 1+n%3, float64(10+5*n)), array(30+n, 2, 100)
+			all = append(all, j)
+			w.Submit(j, 0)
+			w.Submit(gone, 0)
+			time.Sleep(700 * time.Millisecond)
+			l := w.Leader()
+			if n%2 == 0 {
+				w.Kill(l)
+				cancels(t, w, (l+1)%3, gone)
+				another(t, w, l, 8*time.Second)
+				up(t, w, l)
+				time.Sleep(2 * time.Second)
+				continue
+			}
+			w.State.Outage(true)
+			time.Sleep(1500 * time.Millisecond)
+			if w.Leader() == l && w.State.Out() {
+				inOutage++
+			}
+			w.Kill(l)
+			time.Sleep(2 * time.Second)
+			w.State.Outage(false)
+			cancels(t, w, (l+1)%3, gone)
+			another(t, w, l, 8*time.Second)
+			up(t, w, l)
+			time.Sleep(time.Second)
+		}
+		if took := time.Since(begin); took > 2*time.Minute || inOutage != 5 {
+			t.Errorf("ten changes took %v, %d of them in an outage", took, inOutage)
+		}
+		endOfDay(t, w, 3, all...)
+	})
+}
+
+// A leader is cut from the state service and the other controllers while workers
+// and users still reach it, and jobs are cancelled through the next one. In the
+// worst case workers reach the old one only and the cloud is away, so that
+// nothing but its silence ends their tasks. Users at the old one get no older
+// answer than the new one's.
+func TestLeaderCutWhileJobsAreCancelled(t *testing.T) {
+	for _, mode := range standin.CutModes {
+		for _, only := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, workers reach the old one only %v", mode, only), func(t *testing.T) {
+				playAs(t, sized(3), 65, func(w *standin.World, at func(time.Duration)) {
+					s, a := service(1, 4), array(2, 4, 60)
+					gone, late := service(3, 4), array(4, 4, 300)
+					at(2 * time.Second)
+					for _, j := range []standin.Truth{s, a, gone, late} {
+						w.Submit(j, 0)
+					}
+					at(45 * time.Second)
+					l := w.Leader()
+					fresh := array(5, 3, 20)
+					answered, stop := polls(w, l, s, a, gone, late, fresh)
+					defer stop()
+					behind := map[string]bool{}
+					for _, id := range append(w.Holds(gone.Spec.ID), w.Holds(late.Spec.ID)...) {
+						behind[w.IP(id)] = true
+					}
+					split := func(on bool) {
+						w.CutNode(l, mode, on)
+						for ip := range behind {
+							for i := range 3 {
+								if only && i != l {
+									w.Net.Cut(standin.NodeIP(i), ip, on)
+								}
+							}
+						}
+					}
+					w.CloudOutage(only)
+					begin := time.Now()
+					split(true)
+					next := another(t, w, l, 10*time.Second)
+					was := *answered
+					w.Submit(fresh, 0) // by any node; those that can't will refuse
+					if got := cancels(t, w, next, gone); got.Sub(begin) > 8*time.Second {
+						t.Errorf("cancelled only %v after the cut", got.Sub(begin))
+					}
+					w.Checked(func(c *standin.Checker) {
+						if !only && c.On(late.Spec.ID) == 0 || only && c.On(gone.Spec.ID) == 0 {
+							t.Error("nothing of the cancelled jobs runs any more when they are cancelled")
+						}
+					})
+					time.Sleep(4 * time.Second)
+					cancels(t, w, next, late)
+					if leads(t, w, l) {
+						t.Errorf("the old leader thinks that it leads %v after the cut", time.Since(begin))
+					}
+					if status, _, _ := w.Ask(l, "GET", "/ready", nil); status != 503 {
+						t.Errorf("/ready of the old leader answers %d", status)
+					}
+					for i := range 3 {
+						if i != l && !w.Net.NodeCut(standin.NodeIP(l), standin.NodeIP(i)) {
+							t.Error("the cut is over too early")
+						}
+					}
+					if l == w.Leader() {
+						t.Error("the old leader leads")
+					}
+					time.Sleep(45 * time.Second)
+					if only {
+						w.Checked(func(c *standin.Checker) {
+							if n := c.On(gone.Spec.ID) + c.On(late.Spec.ID); n != 0 {
+								t.Errorf("%d tasks of cancelled jobs behind the old leader", n)
+							}
+						})
+					}
+					split(false)
+					w.CloudOutage(false)
+					time.Sleep(5 * time.Second)
+					if *answered == was {
+						t.Error("the old leader has answered no user after the cut")
+					}
+					endOfDay(t, w, 3, s, a, fresh)
+				})
+			})
+		}
+	}
+}
+
+// Jobs are cancelled in the seconds in which the work of one controller changes
+// hands, whether it is ended, resigns or is refused by the state service: before
+// the election, in it, and just after it, always confirmed by another node. Some
+// of them run, some are just being started.
+func TestCancelledWhileWorkChangesHands(t *testing.T) {
+	type way struct {
+		name      string
+		vacant    bool // the cancellation waits for the end of the old one's grant
+		lose, end func(t *testing.T, w *standin.World, l int)
+	}
+	workers := func(on bool) func(t *testing.T, w *standin.World, l int) {
+		return func(t *testing.T, w *standin.World, l int) {
+			for i := 1; i <= 100; i++ {
+				w.Net.Cut(standin.NodeIP(l), fmt.Sprintf("10.1.0.%d", i), on)
+			}
+		}
+	}
+	refuse := func(on bool) func(t *testing.T, w *standin.World, l int) {
+		return func(t *testing.T, w *standin.World, l int) { w.State.Refuse(standin.NodeIP(l), on) }
+	}
+	for _, c := range []way{
+		{"killed", false, func(t *testing.T, w *standin.World, l int) { w.Kill(l) }, func(t *testing.T, w *standin.World, l int) { up(t, w, l) }},
+		{"resigns", true, workers(true), workers(false)},
+		{"refused", true, refuse(true), refuse(false)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			playBoth(t, 66, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				s, a := service(1, 4), array(2, 10, 50)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(a, 0)
+				for round := range 3 {
+					at(time.Duration(40+50*round) * time.Second)
+					var ran, begins [3]standin.Truth
+					for k := range 3 {
+						ran[k], begins[k] = array(100*round+10+k, 2, 200), array(100*round+20+k, 2, 200)
+						w.Submit(ran[k], 0)
+					}
+					at(time.Duration(55+50*round) * time.Second)
+					l := w.Leader()
+					for _, j := range begins {
+						w.Submit(j, 0)
+					}
+					time.Sleep(time.Duration(round*40) * time.Millisecond) // accepted, or just being started
+					by := (l + 1 + round%2) % 3
+					cancels(t, w, by, ran[0])
+					cancels(t, w, by, begins[0])
+					if w.Leader() != l {
+						t.Fatal("the leader changed too early")
+					}
+					c.lose(t, w, l)
+					if c.vacant {
+						until(t, 15*time.Second, "a vacancy", func() bool { return w.Leader() < 0 })
+					} else {
+						time.Sleep(time.Second)
+					}
+					since := time.Now()
+					cancels(t, w, by, ran[1])
+					cancels(t, w, by, begins[1])
+					// The next one may have taken the office meanwhile, but has read nothing yet.
+					if n := w.Leader(); n >= 0 && n != l && !c.vacant || time.Since(since) > 50*time.Millisecond {
+						t.Errorf("elected before the cancellation, which took %v", time.Since(since))
+					}
+					another(t, w, l, 10*time.Second)
+					cancels(t, w, by, ran[2])
+					cancels(t, w, by, begins[2])
+					time.Sleep(5 * time.Second)
+					c.end(t, w, l)
+					time.Sleep(15 * time.Second)
+					w.Checked(func(c *standin.Checker) {
+						for k := range 3 {
+							if n := c.On(ran[k].Spec.ID) + c.On(begins[k].Spec.ID); n != 0 {
+								t.Errorf("round %d: %d tasks are left of what was cancelled %s the election", round, n, [3]string{"before", "in", "after"}[k])
+							}
+						}
+					})
+				}
+				endOfDay(t, w, 3, s, a)
+			})
+		})
+	}
+}
+
+// All teams' work after a day on which everything above has happened: whatever
+// was accepted and not cancelled is answered by every node, and done or running.
+func TestAllTeamsWorkAfterSuchDays(t *testing.T) {
+	playBoth(t, 67, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		rng := rand.New(rand.NewPCG(67, 4))
+		var all []standin.Truth
+		n := 0
+		submit := func() {
+			for range 3 {
+				n++
+				j := array(n, 1+rng.IntN(4), float64(5+rng.IntN(40)))
+				switch n % 4 {
+				case 1:
+					j.Spec.Owner, j.Spec.Urgency, j.Spec.Lane = "blue", wire.Urgent, "check"
+				case 2:
+					j.Spec.SamePlace, j.Spec.Lane = true, "near"
+				case 3:
+					j.Spec.Standby, j.Spec.Urgency, j.Spec.Lane = false, wire.BestEffort, "low"
+				}
+				cancel := time.Duration(0)
+				if rng.IntN(4) == 0 {
+					cancel = time.Duration(5+rng.IntN(20)) * time.Second
+				} else {
+					all = append(all, j)
+				}
+				w.Submit(j, cancel)
+			}
+		}
+		at(2 * time.Second)
+		s := service(900, 4)
+		w.Submit(s, 0)
+		submit()
+		at(35 * time.Second)
+		// Handed over while the cloud is away.
+		w.CloudOutage(true)
+		submit()
+		l := w.Leader()
+		w.CutNode(l, standin.CutRefused, true)
+		another(t, w, l, 10*time.Second)
+		submit()
+		time.Sleep(10 * time.Second)
+		w.CutNode(l, standin.CutRefused, false)
+		w.CloudOutage(false)
+		// A zone is cut off, and all outside it end for longer than a lease.
+		time.Sleep(10 * time.Second)
+		submit()
+		w.CutZone("b", true)
+		time.Sleep(2 * time.Second)
+		w.Kill(0)
+		w.Kill(2)
+		time.Sleep(w.Set.Workers.LeaseS.Duration() + 6*time.Second)
+		up(t, w, 2)
+		submit()
+		time.Sleep(4 * time.Second)
+		w.CutZone("b", false)
+		up(t, w, 0)
+		time.Sleep(10 * time.Second)
+		// All end in an outage, and come back one by one.
+		submit()
+		w.State.Outage(true)
+		time.Sleep(3 * time.Second)
+		for i := range 3 {
+			w.Kill(i)
+		}
+		time.Sleep(time.Second)
+		up(t, w, 1)
+		w.State.Outage(false)
+		submit()
+		time.Sleep(5 * time.Second)
+		up(t, w, 0, 2)
+		endOfDay(t, w, 3, append(all, s)...)
+	})
+}
+
+// Seeded meetings: two troubles drawn at random that overlap, three times a day.
+// WORLD_SEEDS asks for more of them.
+func TestSeededMeetings(t *testing.T) {
+	most, _ := strconv.Atoi(os.Getenv("WORLD_SEEDS"))
+	for seed := range uint64(max(4, most)) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 5))
+			playBoth(t, 700+seed, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				seconds := within(rng)
+				s, all := service(900, 4), []standin.Truth{}
+				n := 0
+				submit := func() standin.Truth {
+					n++
+					j := array(n, 1+rng.IntN(8), float64(5+rng.IntN(40)))
+					if rng.IntN(4) == 0 {
+						j.Spec.SamePlace = true
+					}
+					cancel := mayCancel(rng)
+					if cancel == 0 {
+						all = append(all, j)
+					}
+					w.Submit(j, cancel)
+					return j
+				}
+				some := func() (id wire.MachineID, ip string) {
+					id, ip, _ = w.Some(func(n int) bool { return n > 0 })
+					return id, ip
+				}
+				// Each begins a trouble and returns what ends it.
+				troubles := []func() func(){
+					func() func() { // a node ends, and is back at once or later
+						i := rng.IntN(3)
+						if l := w.Leader(); l >= 0 && rng.IntN(2) == 0 {
+							i = l
+						}
+						w.Kill(i)
+						return func() { up(t, w, i) }
+					},
+					func() func() { // all end
+						for i := range 3 {
+							w.Kill(i)
+						}
+						return func() { up(t, w, 0, 1, 2) }
+					},
+					func() func() { // the leader is back at once
+						l := (w.Leader() + 3) % 3
+						w.Kill(l)
+						time.Sleep(time.Duration(50+rng.IntN(900)) * time.Millisecond)
+						up(t, w, l)
+						return func() {}
+					},
+					func() func() { // the state service refuses one node
+						i := (w.Leader() + 3 + rng.IntN(2)) % 3
+						w.State.Refuse(standin.NodeIP(i), true)
+						return func() { w.State.Refuse(standin.NodeIP(i), false) }
+					},
+					func() func() { // the leader is cut from state service and peers
+						l, mode := (w.Leader()+3)%3, standin.CutModes[rng.IntN(3)]
+						w.CutNode(l, mode, true)
+						return func() { w.CutNode(l, mode, false) }
+					},
+					func() func() { w.State.Outage(true); return func() { w.State.Outage(false) } },
+					func() func() {
+						z := []wire.Zone{"a", "b"}[rng.IntN(2)]
+						w.CutZone(z, true)
+						return func() { w.CutZone(z, false) }
+					},
+					func() func() { // a machine is deaf
+						_, ip := some()
+						w.Net.Deafen(ip, true)
+						return func() { w.Net.Deafen(ip, false) }
+					},
+					func() func() { w.Take(2, func(_ bool, n int) bool { return n > 0 }); return func() {} },
+					func() func() { w.CloudOutage(true); return func() { w.CloudOutage(false) } },
+					func() func() { w.State.LoseAnswers(1 + rng.IntN(4)); return func() {} },
+					func() func() { // late copies
+						id, _ := some()
+						w.Copy(id, seconds(10), seconds(20), seconds(40))
+						return func() {}
+					},
+					func() func() { // a burst, half of it cancelled
+						for range 4 {
+							n++
+							j := array(n, 2, 100)
+							w.Submit(j, time.Second+seconds(15))
+						}
+						return func() {}
+					},
+				}
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				for range 3 {
+					for range 4 {
+						submit()
+						time.Sleep(3*time.Second + seconds(5))
+					}
+					x := rng.IntN(len(troubles))
+					y := (x + 1 + rng.IntN(len(troubles)-1)) % len(troubles)
+					endX := troubles[x]()
+					submit()
+					time.Sleep(seconds(1 + 9*rng.IntN(2))) // sometimes close, sometimes seconds apart
+					endY := troubles[y]()
+					submit()
+					time.Sleep(seconds(1 + 29*rng.IntN(2)))
+					first, second := endX, endY
+					if rng.IntN(2) == 0 {
+						first, second = endY, endX
+					}
+					first()
+					time.Sleep(seconds(1 + 14*rng.IntN(2)))
+					second()
+				}
+				endOfDay(t, w, 3, append(all, s)...)
+			})
+		})
+	}
+}
