--- a/internal/standin/apart.go
+++ b/internal/standin/apart.go
@@ -129,3 +129,13 @@
 	}
 	return 0
 }
+
+// Zone of a machine; empty if it is gone.
+func (w *World) Zone(id wire.MachineID) wire.Zone {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.machines[id]; m != nil {
+		return m.zone
+	}
+	return ""
+}
--- a/meet_leaders_test.go
+++ b/meet_leaders_test.go
@@ -801,3 +801,65 @@
 		})
 	}
 }
+
+// The controller of a zone that is cut off has stood in for the leader there, and
+// ends and is back at once just as the cut is over: its new life does not know
+// what its last one answered. The leases that it gave are waited for all the same.
+func TestStandInEndsAsItsCutEnds(t *testing.T) {
+	for _, elected := range []bool{false, true} { // the leader is another one than before the cut
+		for _, cut := range []time.Duration{19 * time.Second, 21 * time.Second, 25 * time.Second, 30 * time.Second} {
+			t.Run(fmt.Sprintf("cut for %v, another leader %v", cut, elected), func(t *testing.T) {
+				playAs(t, sized(3), 68, func(w *standin.World, at func(time.Duration)) {
+					a, s, room := array(1, 14, 120), service(2, 4), array(3, 6, 300)
+					room.Spec.Site = "a"
+					at(2 * time.Second)
+					leaderIn(t, w, "a")
+					w.Submit(a, 0)
+					w.Submit(s, 0)
+					w.Submit(room, 0)
+					time.Sleep(60 * time.Second)
+					l := w.Leader()
+					w.CutZone("b", true)
+					w.CloudOutage(true) // nothing is returned
+					if elected {
+						w.Kill(l)
+						another(t, w, l, 10*time.Second)
+						up(t, w, l)
+					}
+					time.Sleep(cut - 300*time.Millisecond)
+					there := 0
+					w.Checked(func(c *standin.Checker) { there = c.Zones(a.Spec.ID)["b"] })
+					if there == 0 {
+						t.Error("nothing runs behind the cut")
+					}
+					cancels(t, w, w.Leader(), room) // now there is room to start it elsewhere
+					w.Kill(1)
+					time.Sleep(200 * time.Millisecond)
+					up(t, w, 1)
+					time.Sleep(100 * time.Millisecond)
+					// Machines take some seconds longer to be heard than controllers.
+					var silent []string
+					for _, id := range append(w.Holds(a.Spec.ID), w.Holds(s.Spec.ID)...) {
+						if w.Zone(id) == "b" {
+							silent = append(silent, w.IP(id))
+						}
+					}
+					hold := func(on bool) {
+						for _, ip := range silent {
+							for i := range 3 {
+								w.Net.Cut(standin.NodeIP(i), ip, on)
+							}
+						}
+					}
+					hold(true)
+					w.CutZone("b", false)
+					time.Sleep(2500 * time.Millisecond)
+					hold(false)
+					time.Sleep(8 * time.Second)
+					w.CloudOutage(false)
+					endOfDay(t, w, 3, a, s)
+				})
+			})
+		}
+	}
+}
