A node that begins anew: its last life may have stood in until then

A controller that had stood in for the leader in a zone that was cut off ended and was back at once just as the cut was over. Its new life said that it had never stood in, and the leader believed it: the leases of the machines there were counted from the leader's own last answer, taken to have run out, and what still ran was started elsewhere (ran_twice). Answers to beats now say how long ago their sender began, and until then it may have stood in.

Ruled out: the grant's time (it was counted while the link was lost, and no longer once the new life had answered), late copies of reports, and the cloud (releases were refused all the while). TestStandInEndsAsItsCutEnds fails without it.

--- a/internal/leader/standin.go
+++ b/internal/leader/standin.go
@@ -214,10 +214,11 @@
 // a leader's stead, or can have. One that acknowledged a beat of ours of the
 // last seconds has heard us lead too lately to stand in, unless we did not
 // lead for a while; it says itself when it did last, and if that was just now
-// it may be at it still. Of one that never acknowledged our token, an earlier
+// it may be at it still. What its last life did it does not know: that may have
+// stood in until this one began. Of one that never acknowledged our token, an earlier
 // leader's word may be in force: that leader's last was before this term.
 func (t *term) standsUntil(o peer.Other, now time.Time) time.Time {
-	at := o.Stood
+	at := later(o.Stood, o.Born)
 	if o.AckToken < t.first {
 		at = later(at, t.born.Add(t.l.standFor))
 	}
--- a/internal/leader/standin_test.go
+++ b/internal/leader/standin_test.go
@@ -126,6 +126,7 @@
 	}{
 		{"in touch, never stood in", peer.Other{AckSent: ago(1), AckToken: 50, Granted: ago(0.5)}, time.Time{}, time.Time{}},
 		{"in touch, stood in a while ago", peer.Other{AckSent: ago(1), AckToken: 50, Granted: ago(0.5), Stood: ago(12)}, time.Time{}, ago(12)},
+		{"in touch, began a while ago", peer.Other{AckSent: ago(1), AckToken: 50, Granted: ago(0.5), Stood: ago(20), Born: ago(9)}, time.Time{}, ago(9)},
 		{"in touch, and perhaps still at it", peer.Other{AckSent: ago(1), AckToken: 50, Granted: ago(15), Stood: ago(1)}, time.Time{}, ago(-5)},
 		{"lost after our word", peer.Other{AckSent: ago(10), AckToken: 50, Granted: ago(9)}, time.Time{}, ago(-11)},
 		{"never heard in this term: an earlier leader's word", peer.Other{AckSent: ago(90), AckToken: 40}, time.Time{}, ago(40)},
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -54,6 +54,8 @@
 	// Stood, in an answer, is how long ago the sender last stood in for a
 	// leader; 0: never in this life.
 	Stood time.Duration `cbor:"stood,omitempty"`
+	// Age, in an answer, is how long ago the sender began.
+	Age time.Duration `cbor:"age,omitempty"`
 	// Unproven, in an answer with Grants, is how long ago the first of the
 	// cancellations was confirmed of which a launch may still be on its way
 	// unseen: the while in which to stand in is counted from then.
@@ -86,6 +88,9 @@
 	// Stood is when the other last stood in for a leader, at the latest, as of
 	// that answer.
 	Stood time.Time
+	// Born is when the other began, at the latest. Until then its last life may
+	// have stood in, of which it knows nothing.
+	Born time.Time
 }
 
 // Grant is a leader's word that this node may stand in for it.
@@ -223,6 +228,9 @@
 					if e.beat.Stood > 0 {
 						o.Stood = o.Heard.Add(-e.beat.Stood)
 					}
+					if e.beat.Age > 0 {
+						o.Born = o.Heard.Add(-e.beat.Age)
+					}
 				}
 			} else {
 				o.Beat = e.beat
@@ -249,7 +257,7 @@
 						answer.Unproven = max(0, time.Since(s.Unproven))
 					}
 				}
-				answer.Stood = m.Stood()
+				answer.Stood, answer.Age = m.Stood(), max(1, time.Since(m.born))
 			}
 			cur.Others[e.from] = o
 		}
