--- a/meet_leaders_test.go
+++ b/meet_leaders_test.go
@@ -863,3 +863,51 @@
 		}
 	}
 }
+
+// The state service goes out in the middle of an election, for longer than the
+// time for cancellations: the new leader holds the office, and has not read what
+// was cancelled while nobody led. It must not keep alive what it knows nothing of.
+func TestOutageInTheElectionAfterACancellation(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		back bool // the last leader is back at once and takes the office again
+	}{{"another leads", false}, {"the same one is back", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			playBoth(t, 69, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				s, gone, a := service(1, 4), service(2, 4), array(3, 6, 60)
+				at(2 * time.Second)
+				for _, j := range []standin.Truth{s, gone, a} {
+					w.Submit(j, 0)
+				}
+				at(45 * time.Second)
+				l, old := w.Leader(), w.Office()
+				w.Kill(l)
+				confirmed := cancels(t, w, (l+1)%3, gone)
+				if c.back {
+					up(t, w, l)
+				}
+				until(t, 10*time.Second, "an election", func() bool { return w.Office() > old })
+				w.State.Outage(true)
+				if n := w.Leader(); n < 0 || (n == l) != c.back {
+					t.Errorf("node %d leads", n)
+				}
+				if !c.back {
+					up(t, w, l)
+				}
+				w.Checked(func(c *standin.Checker) {
+					if c.On(gone.Spec.ID) != 4 {
+						t.Error("the cancelled job was stopped before the outage")
+					}
+				})
+				time.Sleep(time.Until(confirmed.Add(w.Set.Workers.CancelS.Duration() + 10*time.Second)))
+				w.Checked(func(c *standin.Checker) {
+					if n := c.On(gone.Spec.ID); n != 0 {
+						t.Errorf("%d tasks of the cancelled job", n)
+					}
+				})
+				w.State.Outage(false)
+				endOfDay(t, w, 3, s, a)
+			})
+		})
+	}
+}
