--- a/internal/standin/apart.go
+++ b/internal/standin/apart.go
@@ -139,3 +139,11 @@
 	}
 	return ""
 }
+
+// LagWatches makes the answers to open watches come late, as the service's
+// answers do at times.
+func (s *State) LagWatches(d time.Duration) {
+	s.mu.Lock()
+	s.lag = d
+	s.mu.Unlock()
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -32,6 +32,7 @@
 	dropTxn int             // so many are lost before they are executed
 	maxOps  int
 	valueKB int
+	lag     time.Duration // of the answers to open watches
 }
 
 type entry struct {
@@ -372,9 +373,12 @@
 				}
 			}
 		}
-		wake := s.wake
+		wake, lag := s.wake, s.lag
 		s.mu.Unlock()
 		if len(res.News) > 0 || timeUp && !silent {
+			if block > 0 {
+				time.Sleep(lag)
+			}
 			wire.Answer(w, http.StatusOK, res)
 			return
 		}
--- a/meet_leaders_test.go
+++ b/meet_leaders_test.go
@@ -911,3 +911,35 @@
 		})
 	}
 }
+
+// Jobs are cancelled while they are being started and the leader's watch lags: it
+// finds out by a write that fails, closes them, and only then hears of them from
+// the watch. That must not cost it the office.
+func TestCancellationsHeardTwice(t *testing.T) {
+	play(t, 70, func(w *standin.World, at func(time.Duration)) {
+		s, a := service(1, 4), array(2, 10, 60)
+		a.Spec.CPUs = 1.5 // with room beside them
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		w.Submit(a, 0)
+		at(45 * time.Second)
+		l, old := w.Leader(), w.Office()
+		w.State.LagWatches(300 * time.Millisecond)
+		for n := range 8 {
+			gone := array(10+n, 2, 100)
+			gone.Spec.CPUs, gone.Spec.RAM = 0.1, 0.1
+			w.Submit(gone, 0)
+			time.Sleep(time.Duration(100+40*n) * time.Millisecond)
+			cancels(t, w, (l+1)%3, gone)
+			time.Sleep(1500 * time.Millisecond)
+			if keys := w.State.Keys("job/" + string(gone.Spec.ID)); len(keys) != 0 {
+				t.Errorf("%s is not closed", gone.Spec.ID)
+			}
+		}
+		if w.Office() != old {
+			t.Errorf("the office has changed hands: node %d leads, was %d", w.Leader(), l)
+		}
+		w.State.LagWatches(0)
+		endOfDay(t, w, 3, s, a)
+	})
+}
