A cancelled job that the watch tells of after it was closed is forgotten

A job is cancelled while it is being started. The leader finds out by the guard that fails, reads the record, and closes the job; when its watch lags and tells of the cancellation only then, the job was taken for a new one, its record was missing, and the leader gave up the office for it: nobody led for three seconds, again and again. Nothing of such a job is left, so it is forgotten.

Ruled out: another hand that drops records (only the leader does, under its key). TestCancellationsHeardTwice fails without it.

--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -283,6 +283,11 @@
 			switch {
 			case err == nil:
 				t.learn(e.Value, e.Stamp)
+			case errors.Is(err, store.ErrMissing) && j.cancelled && j.held == 0:
+				// We closed it, having read of its cancellation here, before the
+				// watch told of it too: nothing of it is left.
+				delete(t.jobs, id)
+				delete(t.closing, j)
 			case errors.Is(err, store.ErrMissing):
 				t.end("a live job's record is gone: " + string(id))
 			case j.stale:
