--- a/internal/standin/looks.go
+++ b/internal/standin/looks.go
@@ -279,9 +279,9 @@
 	})
 }
 
-// Ended tells when a job's last task completed, Began when its first began and
+// EndedAt tells when a job's last task completed, Began when its first began and
 // Told how it ended by its user's knowledge.
-func (c *Checker) Ended(id wire.JobID) time.Time { return c.jobs[id].news.endedAt }
+func (c *Checker) EndedAt(id wire.JobID) time.Time { return c.jobs[id].news.endedAt }
 
 // Waited is how long a job waited for its first task; false: it still waits.
 func (c *Checker) Waited(id wire.JobID) (time.Duration, bool) {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -35,6 +35,7 @@
 	maxOps  int
 	valueKB int
 	limits  limits
+	lag     time.Duration // of the answers to open watches
 }
 
 type entry struct {
@@ -396,11 +397,14 @@
 				}
 			}
 		}
-		wake := s.wake
+		wake, lag := s.wake, s.lag
 		s.mu.Unlock()
 		slices.Reverse(res.News) // as in the page's example, which promises no order
 		if len(res.News) > 0 || timeUp && !silent {
 			s.limits.hold()
+			if block > 0 {
+				time.Sleep(lag)
+			}
 			wire.Answer(w, http.StatusOK, res)
 			return
 		}
--- a/meet_users_test.go
+++ b/meet_users_test.go
@@ -25,12 +25,12 @@
 }
 
 // archives tells whether a transaction replaces a job by its final record, and
-// cancels whether it is a user's cancellation of it.
+// writesCancel whether it is a user's cancellation of it.
 func archives(x *wire.Txn, id wire.JobID) bool {
 	return slices.ContainsFunc(x.Writes, func(w wire.Write) bool { return w.Drop == store.JobKey(id) })
 }
 
-func cancels(x *wire.Txn, id wire.JobID) bool {
+func writesCancel(x *wire.Txn, id wire.JobID) bool {
 	return slices.ContainsFunc(x.Writes, func(w wire.Write) bool {
 		var rec store.JobRecord
 		return w.Put == store.JobKey(id) && wire.Decode(w.Value, &rec) == nil && rec.Status == wire.Cancelled
@@ -160,7 +160,7 @@
 					wait := time.Duration(0)
 					once.Do(func() { close(onItsWay); wait = 120 * time.Millisecond })
 					return wait
-				case cancels(x, late.Spec.ID):
+				case writesCancel(x, late.Spec.ID):
 					return 1200 * time.Millisecond
 				}
 				return 0
@@ -180,7 +180,7 @@
 			if n := w.State.Lost(func(x *wire.Txn) bool { return archives(x, early.Spec.ID) }); n != 1 {
 				t.Errorf("%d final records failed at a cancellation", n)
 			}
-			if n := w.State.Lost(func(x *wire.Txn) bool { return cancels(x, late.Spec.ID) }); n != 1 {
+			if n := w.State.Lost(func(x *wire.Txn) bool { return writesCancel(x, late.Spec.ID) }); n != 1 {
 				t.Errorf("%d cancellations failed at a final record", n)
 			}
 			w.Checked(func(c *standin.Checker) {
