--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -136,3 +136,33 @@
 		}
 	}
 }
+
+// Small jobs that wait together share a machine that is too dear for one of them.
+func TestSmallDemandsShareAPrice(t *testing.T) {
+	small := func(n int, cpus float64) []Demand {
+		var out []Demand
+		for range n {
+			out = append(out, Demand{Spec: &wire.Spec{Shape: wire.Sweep, CPUs: cpus, RAM: 1, Standby: true}, Units: 1})
+		}
+		return out
+	}
+	s := Snapshot{MaxRents: 8, DearLimit: 2.5, Cheapest: func(*wire.Spec) float64 { return 0.025 },
+		Offers: []Offer{{Kit: "c4", Zone: "a", Spot: true, Total: types["c4"], Price: 0.1, Room: 9}}}
+	rents := func(d []Demand) (n int) {
+		s.Demands = d
+		for _, r := range Make(&s).Rents {
+			n += r.Count
+		}
+		return
+	}
+	apart := small(2, 1)
+	apart[1].Spec.Kits = []wire.Kit{"c16"}
+	for name, c := range map[string]struct {
+		d    []Demand
+		want int
+	}{"one": {small(1, 1), 0}, "two": {small(2, 1), 1}, "five": {small(5, 1), 1}, "nine": {small(9, 1), 2}, "of other types": {apart, 0}} {
+		if n := rents(c.d); n != c.want {
+			t.Errorf("%s: %d machines, want %d", name, n, c.want)
+		}
+	}
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -113,13 +113,14 @@
 // lacks means nothing, and what it shows may be gone.
 func (t *term) hostList(hosts []wire.Host) {
 	now := time.Now()
-	t.listed = true
+	t.listed, t.listAt = true, now
 	for _, h := range hosts {
 		if _, gone := t.gone[h.Name]; gone {
 			continue
 		}
 		known := t.machines[h.Name] != nil
 		m := t.machine(h.Name)
+		m.listed = now
 		if !known {
 			m.rentedAt = now.Add(-h.Age.Duration())
 			m.booting = h.State == wire.HostStarting
@@ -238,7 +239,8 @@
 				gone = min(gone, ask+3*probeTimeout)
 			}
 		}
-		t.watchMachine(m, now, ask, gone, cutOff || unknown || cut && quiet < max(lease*5/2, t.set.Workers.CancelS.Duration()*2))
+		kept := cutOff || cut && quiet < max(lease*5/2, t.set.Workers.CancelS.Duration()*2)
+		t.watchMachine(m, now, ask, gone, kept && !t.unlisted(m) || unknown)
 		if deaf <= max(3, up/4) {
 			t.watchHearing(m, now)
 		}
@@ -255,6 +257,15 @@
 	}
 }
 
+// unlisted tells whether the lists have lacked a machine for longer than they may
+// lag. That is no proof of its end, but there is no cut behind which it lives and
+// is to be kept: asking for its release costs nothing and brings the proof. (When
+// most machines had vanished at once it looked like a cut of this node for as long
+// as no more were rented than that, and none of them was ever asked for.)
+func (t *term) unlisted(m *machine) bool {
+	return t.listAt.Sub(m.listed) > 2*t.set.Cloud.ListLagS.Duration()+10*time.Second
+}
+
 // heard is when something last came from a zone's machines, and how many
 // reports had come from all zones by then.
 type heard struct {
--- a/meet_users_test.go
+++ b/meet_users_test.go
@@ -529,3 +529,35 @@
 		}
 	})
 }
+
+// Jobs of one small task each, many of which fit on the smallest machine, are
+// rented for together: for one of them alone every machine would be too dear. (A
+// hundred of them waited two minutes, until the first was taken for starving.)
+func TestSmallJobsRentTogether(t *testing.T) {
+	playAs(t, standin.DefaultSettings(), 470, func(w *standin.World, at func(time.Duration)) {
+		l := w.Looks()
+		l.For, l.Polls = 0, 3*time.Second
+		at(2 * time.Second)
+		var all []standin.Truth
+		for n := range 160 {
+			j := array(1+n, 1, 2)
+			j.Spec.CPUs = 1
+			all = append(all, j)
+			l.Submit(j, standin.Never, 0)
+			time.Sleep(250 * time.Millisecond)
+		}
+		at(90 * time.Second)
+		mustFinish(t, w, all...)
+		longest := time.Duration(0)
+		w.Checked(func(c *standin.Checker) {
+			for _, j := range all {
+				if d, ok := c.Waited(j.Spec.ID); ok {
+					longest = max(longest, d)
+				}
+			}
+		})
+		if longest > 40*time.Second {
+			t.Errorf("a job waited for %v", longest)
+		}
+	})
+}
