--- /dev/null
+++ b/internal/standin/limits.go
@@ -0,0 +1,129 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"lilaclead/internal/wire"
+)
+
+// Slow makes everything to and from a host take so much longer; 0: no more.
+func (n *Network) Slow(ip string, by time.Duration) {
+	n.mu.Lock()
+	n.slow[ip] = by
+	n.mu.Unlock()
+}
+
+// takes is how long a packet is on its way.
+func (n *Network) takes(from, to string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.latency + n.slow[from] + n.slow[to]
+}
+
+// Slow makes the links of all machines, also of those to come, take so much
+// longer.
+func (w *World) Slow(by time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slowBy = by
+	for _, m := range w.machines {
+		w.Net.Slow(m.ip, by)
+	}
+}
+
+// Unlink cuts a machine off from all nodes, with all packets held, or lets them
+// through again.
+func (w *World) Unlink(id wire.MachineID, on bool) {
+	ip := w.IP(id)
+	for i := range w.nodes {
+		if ip != "" {
+			w.Net.Cut(NodeIP(i), ip, on)
+		}
+	}
+}
+
+// Stall makes a machine hang: it says and hears nothing and its tasks don't get
+// on, until it goes on. Its session ends by its clock all the same.
+func (w *World) Stall(id wire.MachineID, on bool) {
+	w.mu.Lock()
+	if m := w.machines[id]; m != nil {
+		m.stalled = on
+	}
+	w.mu.Unlock()
+	w.Unlink(id, on)
+}
+
+// unstalled waits while the machine hangs.
+func (m *worker) unstalled(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.w.mu.Lock()
+		hangs := m.stalled
+		m.w.mu.Unlock()
+		if !hangs {
+			return
+		}
+		sleep(ctx, 100*time.Millisecond)
+	}
+}
+
+// SellOut makes the cloud have nothing more to rent in a zone, or have it again.
+func (w *World) SellOut(z wire.Zone, on bool) {
+	w.mu.Lock()
+	w.soldOut[z] = on
+	w.mu.Unlock()
+}
+
+// Vanish takes machines away at once and without a trace.
+func (w *World) Vanish(ids ...wire.MachineID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range ids {
+		w.remove(id)
+	}
+}
+
+// In lists the machines that are up in a zone.
+func (w *World) In(z wire.Zone) []wire.MachineID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []wire.MachineID
+	for id, m := range w.machines {
+		if m.zone == z && m.up {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Zones counts a job's tasks that are on machines by zone.
+func (c *Checker) Zones(id wire.JobID) map[wire.Zone]int {
+	n := map[wire.Zone]int{}
+	for t, p := range c.on {
+		if t.Job == id {
+			n[p.Zone]++
+		}
+	}
+	return n
+}
+
+// Uses is how many processors a team's tasks use that are on machines.
+func (c *Checker) Uses(team wire.TeamID) float64 {
+	n := 0.0
+	for t := range c.on {
+		if j := c.jobs[t.Job]; j != nil && j.spec.Owner == team {
+			n += j.spec.CPUs
+		}
+	}
+	return n
+}
+
+// DoneOf counts the tasks of a job that have completed.
+func (c *Checker) DoneOf(id wire.JobID) int {
+	if j := c.jobs[id]; j != nil {
+		return len(j.done)
+	}
+	return 0
+}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -26,12 +26,13 @@
 	held      map[[2]string]bool // from, to: packets wait
 	deaf      map[string]bool    // hosts that nothing reaches, though they are heard
 	island    map[string]bool    // hosts that reach only each other
+	slow      map[string]time.Duration
 	latency   time.Duration
 }
 
 // NewNetwork makes a network.
 func NewNetwork(latency time.Duration) *Network {
-	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, down: map[string]bool{}, held: map[[2]string]bool{}, deaf: map[string]bool{}, island: map[string]bool{}, latency: latency}
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, down: map[string]bool{}, held: map[[2]string]bool{}, deaf: map[string]bool{}, island: map[string]bool{}, slow: map[string]time.Duration{}, latency: latency}
 }
 
 // Host is the network as one host sees it.
@@ -147,6 +148,7 @@
 type packet struct {
 	data []byte
 	fin  bool
+	due  time.Time
 }
 
 func (p *pipe) change() {
@@ -161,26 +163,32 @@
 	p.n.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if blocked || len(p.late) == 0 {
+	now, n := time.Now(), 0
+	for n < len(p.late) && !p.late[n].due.After(now) {
+		n++
+	}
+	if blocked || n == 0 {
 		return
 	}
-	for _, k := range p.late {
+	for _, k := range p.late[:n] {
 		p.buf = append(p.buf, k.data...)
 		p.closed = p.closed || k.fin
 	}
-	p.late = nil
+	p.late = p.late[n:]
 	p.change()
 }
 
 func (p *pipe) send(k packet) error {
+	takes := p.n.takes(p.from, p.to)
 	p.mu.Lock()
 	if p.reset {
 		p.mu.Unlock()
 		return &net.OpError{Op: "write", Net: "tcp", Err: errors.New("connection reset")}
 	}
+	k.due = time.Now().Add(takes)
 	p.late = append(p.late, k)
 	p.mu.Unlock()
-	time.AfterFunc(p.n.latency, p.arrive)
+	time.AfterFunc(takes, p.arrive)
 	return nil
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -26,6 +26,7 @@
 	up       bool
 	dead     bool
 	sick     bool
+	stalled  bool
 	notice   time.Time
 	shift    wire.Session
 	tally    wire.Tally
@@ -278,6 +279,7 @@
 	}
 	m.w.spawn(func() {
 		sleep(ctx, fetch)
+		m.unstalled(ctx)
 		m.w.mu.Lock()
 		if ctx.Err() != nil || m.tasks[t] != x {
 			m.w.mu.Unlock()
@@ -296,6 +298,7 @@
 			<-ctx.Done()
 		default:
 			sleep(ctx, time.Duration(truth.RunS*float64(time.Second)))
+			m.unstalled(ctx)
 		}
 		m.w.mu.Lock()
 		defer m.w.mu.Unlock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -58,6 +58,8 @@
 	cloudOut    bool
 	loseRelease int
 	loseRent    int
+	slowBy      time.Duration
+	soldOut     map[wire.Zone]bool
 	listLag     time.Duration
 	bootFactor  float64
 }
@@ -136,7 +138,7 @@
 			{Name: "c16", CPUs: 16, RAM: 64, LocalGB: 20, PullGBPerS: 1, Rate: 1.1, LowPrice: 0.4, ReadyS: 10, Sites: set.Zones},
 		},
 		capacity: map[string]int{}, machines: map[wire.MachineID]*worker{}, booked: map[string][]wire.MachineID{},
-		truths: map[wire.JobID]*Truth{}, listLag: set.Cloud.ListLagS.Duration(), bootFactor: 1,
+		truths: map[wire.JobID]*Truth{}, soldOut: map[wire.Zone]bool{}, listLag: set.Cloud.ListLagS.Duration(), bootFactor: 1,
 	}
 	if w.host = host; host == nil {
 		w.host = w.Net.Host
@@ -468,7 +470,7 @@
 	if !known {
 		of := offer(b.Kit, b.Site, b.Standby)
 		n := min(b.Count, w.capacity[of])
-		if n == 0 {
+		if n == 0 || w.soldOut[b.Site] {
 			wire.Answer(rw, http.StatusServiceUnavailable, wire.Reason{Error: "no capacity"})
 			return
 		}
@@ -500,6 +502,7 @@
 	m := &worker{w: w, id: id, ip: ip, addr: ip + ":9000", kit: kit, zone: zone, spot: spot, flavor: f, rented: time.Now(), ctx: ctx, cancel: cancel,
 		shift: 1, tasks: map[wire.Task]*run{}, cached: map[wire.ImageID]bool{}, drift: 1 + (w.rng.Float64()-0.5)*0.001, poke: make(chan struct{}, 1)}
 	w.machines[id] = m
+	w.Net.Slow(ip, w.slowBy)
 	if zone == w.cutZone {
 		w.Net.Island(ip, true)
 	}
