--- a/internal/standin/limits.go
+++ b/internal/standin/limits.go
@@ -120,10 +120,48 @@
 	return n
 }
 
-// DoneOf counts the tasks of a job that have completed.
-func (c *Checker) DoneOf(id wire.JobID) int {
-	if j := c.jobs[id]; j != nil {
-		return len(j.done)
+// Waiting counts the tasks of a job that have neither completed nor are on a
+// machine.
+func (c *Checker) Waiting(id wire.JobID) int {
+	j, n := c.jobs[id], 0
+	for i := range j.spec.Parts {
+		if _, on := c.on[wire.Task{Job: id, Index: i}]; !on && !j.done[i] {
+			n++
+		}
 	}
-	return 0
+	return n
+}
+
+// SlowSaves makes tasks take their time to save when they are stopped.
+func (w *World) SlowSaves() {
+	w.mu.Lock()
+	w.slowSaves = true
+	w.mu.Unlock()
+}
+
+// save lets a task that was told to stop save first, and tells whether it does.
+// What saves already goes on with it unless it is told to end at once. Call with
+// the lock held.
+func (m *worker) save(t wire.Task, x *run, windDown *wire.Seconds) bool {
+	switch {
+	case !m.w.slowSaves:
+		return false
+	case x.phase == wire.Saving:
+		return windDown != nil && *windDown > 0
+	case !x.saved:
+		return false
+	}
+	x.cancel()
+	x.phase = wire.Saving
+	m.changed()
+	m.w.spawn(func() {
+		sleep(m.ctx, m.w.truths[t.Job].Spec.SnapshotS.Duration())
+		m.unstalled(m.ctx)
+		m.w.mu.Lock()
+		defer m.w.mu.Unlock()
+		if m.tasks[t] == x && x.phase == wire.Saving {
+			m.exit(t, x, wire.CauseStopped)
+		}
+	})
+	return true
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -234,6 +234,9 @@
 				continue
 			}
 			x.saved = x.phase == wire.Active && o.WindDown != nil && *o.WindDown >= m.w.truths[t.Job].Spec.SnapshotS && m.w.truths[t.Job].Spec.SnapshotEveryS > 0
+			if m.save(t, x, o.WindDown) {
+				continue
+			}
 			x.cancel()
 			m.exit(t, x, wire.CauseStopped)
 		case wire.Forget:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -59,6 +59,7 @@
 	loseRelease int
 	loseRent    int
 	slowBy      time.Duration
+	slowSaves   bool
 	soldOut     map[wire.Zone]bool
 	listLag     time.Duration
 	bootFactor  float64
--- a/meet_limits_test.go
+++ b/meet_limits_test.go
@@ -193,3 +193,187 @@
 		}
 	}
 }
+
+// Jobs that are bound to one zone, by name or by their own first task, lose the
+// machines there, while that zone has nothing more to rent and others have. No
+// task may start in another zone while one may still be in the first; and when
+// those are known to be gone, by whatever proof there is, nothing waits for
+// another. A service that is spread counts what may still run behind the fault.
+func TestBoundToAZoneThatIsLost(t *testing.T) {
+	some := func(ids []wire.MachineID, every int) (out []wire.MachineID) {
+		for i, id := range ids {
+			if i%every == 0 {
+				out = append(out, id)
+			}
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name   string
+		leader bool // changes meanwhile
+		cloud  bool // is away too, so that no list says where anything is
+		moves  bool // all of the first zone is lost, so that jobs move while it lasts
+		hit    func(w *standin.World, on bool, ids []wire.MachineID)
+	}{
+		{"half vanish, leader changes", true, false, false, func(w *standin.World, on bool, ids []wire.MachineID) {
+			if on {
+				w.Vanish(some(ids, 2)...)
+			}
+		}},
+		{"all vanish, leader changes", true, false, true, func(w *standin.World, on bool, ids []wire.MachineID) {
+			if on {
+				w.Vanish(ids...)
+			}
+		}},
+		{"all vanish, cloud away, leader changes", true, true, false, func(w *standin.World, on bool, ids []wire.MachineID) {
+			if on {
+				w.Vanish(ids...)
+			}
+		}},
+		{"half cut, half vanish, leader changes", true, false, true, func(w *standin.World, on bool, ids []wire.MachineID) {
+			for i, id := range ids {
+				if i%2 == 0 {
+					w.Unlink(id, on)
+				} else if on {
+					w.Vanish(id)
+				}
+			}
+		}},
+		{"cut off, leader changes", true, false, true, func(w *standin.World, on bool, ids []wire.MachineID) { w.CutZone("a", on) }},
+		{"half hang", false, false, false, func(w *standin.World, on bool, ids []wire.MachineID) {
+			for _, id := range some(ids, 2) {
+				w.Stall(id, on)
+			}
+		}},
+	} {
+		for seed := range meetSeeds(1) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				playIn(t, standin.GasSettings(), []wire.Zone{"b", "c", "a"}, 420+seed, func(w *standin.World, at func(time.Duration)) {
+					bound, same := array(1, 8, 70), array(2, 14, 50)
+					bound.Spec.Site, same.Spec.SamePlace = "a", true
+					boundS, sameS, spread := service(3, 3), service(4, 3), service(5, 4)
+					boundS.Spec.Site, boundS.Spec.Apart = "a", false
+					sameS.Spec.SamePlace, sameS.Spec.Apart = true, false
+					w.SellOut("b", true)
+					w.SellOut("c", true)
+					at(2 * time.Second)
+					for _, j := range []standin.Truth{same, sameS, boundS, spread, bound} {
+						w.Submit(j, 0)
+					}
+					at(50 * time.Second)
+					w.Checked(func(c *standin.Checker) {
+						for _, j := range []standin.Truth{same, sameS, boundS, spread} {
+							if z := c.Zones(j.Spec.ID); z["a"] == 0 || len(z) != 1 {
+								t.Errorf("%s runs in %v before the fault", j.Spec.ID, z)
+							}
+						}
+					})
+					w.SellOut("b", false)
+					w.SellOut("c", false)
+					w.SellOut("a", true)
+					w.CloudOutage(c.cloud)
+					ids := w.In("a")
+					c.hit(w, true, ids)
+					if c.leader {
+						time.Sleep(time.Second)
+						changeLeader(t, w)
+					}
+					at(100 * time.Second)
+					w.CloudOutage(false)
+					at(190 * time.Second)
+					if c.moves {
+						w.Checked(func(c *standin.Checker) {
+							if z := c.Zones(sameS.Spec.ID); len(z) != 1 || z["a"] > 0 {
+								t.Errorf("the service in one place runs in %v while that is lost", z)
+							}
+							if z := c.Zones(same.Spec.ID); z["a"] > 0 || len(z) == 0 && !c.Complete(same.Spec.ID) {
+								t.Errorf("the array in one place runs in %v while that is lost", z)
+							}
+						})
+						mustRun(t, w, spread, "while a zone is lost")
+					}
+					w.SellOut("a", false)
+					c.hit(w, false, ids)
+					w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+					at(300 * time.Second)
+					mustFinish(t, w, same)
+					for _, j := range []standin.Truth{sameS, boundS, spread} {
+						mustRun(t, w, j, "of "+string(j.Spec.ID)+" when all is over")
+					}
+					w.Checked(func(c *standin.Checker) {
+						if n := c.Waiting(bound.Spec.ID); n > 0 {
+							t.Errorf("%d of the bound array's 8 tasks wait 110 s after the troubles", n)
+						}
+					})
+				})
+			})
+		}
+	}
+}
+
+// There is more work than room, and nothing more to rent, when the links to all
+// machines become slow, so that halts and launches take seconds, or are never
+// answered in time though they are executed. Urgent arrays and replicas come and
+// must get room soon, by stopping what is of less priority; what is stopped for
+// them must not be stopped over and over; and at the end all is done.
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	for _, slow := range []time.Duration{700 * time.Millisecond, 1300 * time.Millisecond} {
+		for seed := range meetSeeds(1) {
+			t.Run(fmt.Sprintf("%v, seed %d", slow, seed), func(t *testing.T) {
+				play(t, 440+seed, func(w *standin.World, at func(time.Duration)) {
+					w.SlowSaves()
+					job := func(n, parts int, run float64, u wire.Urgency, team wire.TeamID) standin.Truth {
+						j := array(n, parts, run)
+						j.Spec.Urgency, j.Spec.Owner = u, team
+						j.Spec.SnapshotEveryS, j.Spec.SnapshotS = 10, 3
+						return j
+					}
+					low := job(1, 200, 40, wire.BestEffort, "blue")
+					low.Spec.Standby = false // where replicas may go too
+					usual := job(2, 24, 20, wire.Standard, "red")
+					urgent := []standin.Truth{job(3, 6, 15, wire.Urgent, "red"), job(4, 5, 15, wire.Urgent, "blue"), job(5, 12, 10, wire.Urgent, "red")}
+					urgent[1].Spec.CPUs, urgent[1].Spec.RAM = 4, 8
+					s := service(6, 4)
+					s.Spec.Apart = false
+					w.SellOut("b", true)
+					at(2 * time.Second)
+					w.Submit(low, 0)
+					at(38 * time.Second)
+					w.SellOut("a", true)
+					w.Submit(usual, 0)
+					at(45 * time.Second)
+					w.Slow(slow)
+					at(50 * time.Second)
+					for _, j := range urgent[:2] {
+						w.Submit(j, 0)
+					}
+					at(52 * time.Second)
+					w.Submit(s, 0)
+					w.Checked(func(c *standin.Checker) {
+						if c.Waiting(low.Spec.ID) == 0 || c.Waiting(usual.Spec.ID) == 0 || c.On(low.Spec.ID) == 0 {
+							t.Errorf("there is no more work than room: %d and %d wait, %d on", c.Waiting(low.Spec.ID), c.Waiting(usual.Spec.ID), c.On(low.Spec.ID))
+						}
+					})
+					at(75 * time.Second)
+					mustRun(t, w, s, "23 s after it was submitted over slow links")
+					w.Submit(urgent[2], 0)
+					at(120 * time.Second)
+					mustFinish(t, w, urgent...)
+					w.Checked(func(c *standin.Checker) {
+						if n := c.Again(); n == 0 || n > 40 {
+							t.Errorf("%d tasks were stopped and started again", n)
+						}
+					})
+					at(180 * time.Second)
+					w.Slow(0)
+					w.SellOut("a", false)
+					w.SellOut("b", false)
+					w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+					at(300 * time.Second)
+					mustFinish(t, w, append(urgent, low, usual)...)
+					mustRun(t, w, s, "when all is over")
+				})
+			})
+		}
+	}
+}
