Room is made within the team's limit, counting room that is being made already

Cause: a round's preemption counted what a team's tasks use, and what it claimed in that round, but not what earlier rounds claimed and is not used yet. With room for one more task below the limit each round had others' work stopped for the next urgent job of the team, until the first of them had started; over slow links that is seconds. The room was kept for jobs that the limit kept back.

Claims of the job's rank and above count now. Those of lower ranks don't, so that an urgent job's claim holds up no replica of its team. Starts are untouched.

Ruled out: claims that are kept too long (they end after a halt's time), and the limit itself (no start went beyond it).

Fails without it: TestRoomIsMadeWithinTheLimit (5 tasks stopped where one is needed), TestRoomIsKeptForWhatItIsMadeFor ("no room is made beyond the team's limit").

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -446,6 +446,7 @@
 		return cmp.Compare(s.Jobs[b].Spec.Urgency.Rank(), s.Jobs[a].Spec.Urgency.Rank())
 	})
 	offers := make([]clearing, len(s.Machines))
+	claimed := claimedBy(s)
 	for _, ji := range waiting {
 		j := &s.Jobs[ji]
 		take := Of(j.Spec)
@@ -453,7 +454,7 @@
 			offers[mi] = clearFor(&s.Machines[mi], j, take)
 		}
 		for range min(j.Pending-j.Claims, 8) {
-			if !s.Teams[j.Spec.Owner].room(take) {
+			if !s.Teams[j.Spec.Owner].room(take.Plus(claimed[j.Spec.Owner][j.Spec.Urgency.Rank()])) {
 				break
 			}
 			mi := -1
@@ -491,6 +492,29 @@
 	return halts, clears
 }
 
+// claimedBy is what each team will use once the room that is being made for its
+// jobs of a rank or above it is used. The team's limit must hold for that too:
+// ten urgent tasks of a team that had room for one once had others' work stopped
+// for all ten, one after the other, before the first of them had started.
+func claimedBy(s *Snapshot) map[wire.TeamID]*[4]Res {
+	out := make(map[wire.TeamID]*[4]Res, len(s.Teams))
+	for id := range s.Teams {
+		out[id] = &[4]Res{}
+	}
+	for i := range s.Jobs {
+		j := &s.Jobs[i]
+		n := min(j.Claims, j.Pending)
+		if n <= 0 || out[j.Spec.Owner] == nil {
+			continue
+		}
+		for r := 0; r <= j.Spec.Urgency.Rank(); r++ {
+			c := &out[j.Spec.Owner][r]
+			*c = c.Plus(Of(j.Spec).Times(float64(n)))
+		}
+	}
+	return out
+}
+
 // ends tells whether the task is worth waiting for: it is expected to end by
 // itself within the job's patience. That needs no leave, whatever its priority.
 func ends(j *Job, v *Victim) bool { return j.PatienceS > 0 && v.LeftS <= j.PatienceS }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -299,6 +299,11 @@
 		s.Machines = append(s.Machines, m)
 		return s
 	}
+	other := spec("req-4", wire.Urgent, 4)
+	limit := func(s *Snapshot, cpus float64) *Snapshot {
+		s.Teams["t"].Limit.CPUs = cpus
+		return s
+	}
 	heavy := *urgent
 	heavy.Bundle, heavy.ImageGB = "i", 1
 	imaged := Job{Spec: &heavy, Pending: 1, Weight: 8, PatienceS: 5}
@@ -319,6 +324,9 @@
 		{"without a claim the small ones go", snap(Machine{Free: whole}, Job{Spec: urgent, Pending: 1, Weight: 8}, Job{Spec: small, Pending: 2, Weight: 99}), 2, 0, 0},
 		{"a claimed machine is no room for a second unit", snap(free, Job{Spec: urgent, Pending: 2, Weight: 8, Claims: 1}), 0, 0, 0},
 		{"a higher priority passes over it", snap(free, Job{Spec: prod, Pending: 1, Weight: 256}), 1, 0, 0},
+		{"no room is made beyond the team's limit", limit(snap(Machine{Victims: []Victim{victim(0), victim(1)}, Free: Res{0, 0, 2}}, Job{Spec: urgent, Pending: 1, Weight: 8, Claims: 1}, Job{Spec: other, Pending: 1, Weight: 8}), 4), 0, 0, 0},
+		{"within it some is made for a second job", limit(snap(Machine{Victims: []Victim{victim(0), victim(1)}, Free: Res{0, 0, 2}}, Job{Spec: urgent, Pending: 1, Weight: 8, Claims: 1}, Job{Spec: other, Pending: 1, Weight: 8}), 8), 0, 2, 1},
+		{"what was claimed and is used counts once", limit(snap(Machine{Claims: claim, Free: whole, Victims: []Victim{victim(0), victim(1)}}, Job{Spec: urgent, Pending: 1, Weight: 8, Claims: 1}, Job{Spec: other, Pending: 1, Weight: 7}), 8), 1, 2, 1},
 	}
 	for _, c := range cases {
 		res := Place(c.s)
--- a/meet_limits_test.go
+++ b/meet_limits_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -311,6 +312,21 @@
 	}
 }
 
+// preempted is how many tasks the leader has had stopped to make room.
+func preempted(t *testing.T, w *standin.World) float64 {
+	t.Helper()
+	_, raw, _ := w.Operate(w.Leader(), "GET", "/metrics", nil)
+	for line := range strings.Lines(string(raw)) {
+		if v, ok := strings.CutPrefix(line, "lilaclead_preemptions_total "); ok {
+			if n, err := strconv.ParseFloat(strings.TrimSpace(v), 64); err == nil {
+				return n
+			}
+		}
+	}
+	t.Fatal("the leader counts no preemptions")
+	return 0
+}
+
 // There is more work than room, and nothing more to rent, when the links to all
 // machines become slow, so that halts and launches take seconds, or are never
 // answered in time though they are executed. Urgent arrays and replicas come and
@@ -377,3 +393,47 @@
 		}
 	}
 }
+
+// A team is two processors short of its limit when ten urgent tasks of it come one
+// by one over slow links, and all room is taken by others' work. Only one of them
+// can run at a time, so room is made for one at a time: what was stopped for those
+// that the limit keeps back was stopped for nothing.
+func TestRoomIsMadeWithinTheLimit(t *testing.T) {
+	for seed := range meetSeeds(1) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			play(t, 460+seed, func(w *standin.World, at func(time.Duration)) {
+				most, low := array(1, 19, 400), array(2, 200, 60)
+				low.Spec.Urgency, low.Spec.Owner, low.Spec.Standby, most.Spec.Standby = wire.BestEffort, "blue", false, false
+				low.Spec.SnapshotEveryS, low.Spec.SnapshotS = 10, 3
+				w.SlowSaves()
+				w.SellOut("b", true)
+				at(2 * time.Second)
+				w.Submit(most, 0)
+				at(20 * time.Second)
+				w.Submit(low, 0)
+				at(42 * time.Second)
+				w.SellOut("a", true)
+				usage(t, w, "red", 38)
+				w.Slow(700 * time.Millisecond)
+				at(45 * time.Second)
+				var urgent []standin.Truth
+				for n := range 10 {
+					j := array(10+n, 1, 8)
+					j.Spec.Urgency = wire.Urgent
+					urgent = append(urgent, j)
+					w.Submit(j, 0)
+				}
+				w.Checked(func(c *standin.Checker) {
+					if c.Waiting(low.Spec.ID) == 0 {
+						t.Error("there is no more work than room")
+					}
+				})
+				at(170 * time.Second)
+				mustFinish(t, w, urgent...)
+				if n := preempted(t, w); n < 1 || n > 2 {
+					t.Errorf("%.0f tasks were stopped for ten that run one by one", n)
+				}
+			})
+		})
+	}
+}
