--- a/internal/standin/limits.go
+++ b/internal/standin/limits.go
@@ -165,3 +165,57 @@
 	})
 	return true
 }
+
+// Boots makes machines come up in so many times the usual time.
+func (w *World) Boots(factor float64) {
+	w.mu.Lock()
+	w.bootFactor = factor
+	w.mu.Unlock()
+}
+
+// Unlisted makes the machines that are rented from now on ones that no list ever
+// shows, or no more of them. (Lists lag, and one that does not live as long as
+// they do may be in none.)
+func (w *World) Unlisted(on bool) {
+	w.mu.Lock()
+	w.unlisted = on
+	w.mu.Unlock()
+}
+
+// room is what is free on a machine; call with the lock held.
+func (m *worker) room() (cpus, ram float64) {
+	cpus, ram = m.flavor.CPUs, m.flavor.RAM
+	for t, x := range m.tasks {
+		if x.phase != wire.Exited {
+			cpus -= m.w.truths[t.Job].Spec.CPUs
+			ram -= m.w.truths[t.Job].Spec.RAM
+		}
+	}
+	return cpus, ram
+}
+
+// CouldRun lists the jobs that have a task waiting for which a machine has room
+// now where the job's other tasks let it be, with their team under its limit, and
+// how many tasks of each wait.
+func (w *World) CouldRun() map[wire.JobID]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[wire.JobID]int{}
+	for id, j := range w.check.jobs {
+		n := w.check.Waiting(id)
+		s, l := &j.spec, w.check.Limits[j.spec.Owner]
+		if !j.accepted || j.cancelReq || j.told != "" || n == 0 || l.CPUs > 0 && w.check.Uses(s.Owner)+s.CPUs > l.CPUs+wire.Eps {
+			continue
+		}
+		zones := w.check.Zones(id)
+		for _, m := range w.machines {
+			cpus, ram := m.room()
+			elsewhere := len(zones) > 1 || len(zones) == 1 && zones[m.zone] == 0
+			if m.up && m.notice.IsZero() && cpus+wire.Eps >= s.CPUs && ram+wire.Eps >= s.RAM && (s.Standby || !m.spot) && (s.Site == "" || s.Site == m.zone) &&
+				(s.Kits == nil || slices.Contains(s.Kits, m.kit)) && !(s.SamePlace && elsewhere) && !(s.Apart && zones[m.zone] >= (s.Parts+1)/2) {
+				out[id] = n
+			}
+		}
+	}
+	return out
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -27,6 +27,7 @@
 	dead     bool
 	sick     bool
 	stalled  bool
+	unlisted bool
 	notice   time.Time
 	shift    wire.Session
 	tally    wire.Tally
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -59,6 +59,7 @@
 	loseRelease int
 	loseRent    int
 	slowBy      time.Duration
+	unlisted    bool
 	slowSaves   bool
 	soldOut     map[wire.Zone]bool
 	listLag     time.Duration
@@ -389,6 +390,9 @@
 func (w *World) hosts() []wire.Host {
 	out := []wire.Host{}
 	for _, m := range w.machines {
+		if m.unlisted {
+			continue
+		}
 		st := wire.HostStarting
 		if m.up {
 			st = wire.HostRunning
@@ -504,6 +508,7 @@
 		shift: 1, tasks: map[wire.Task]*run{}, cached: map[wire.ImageID]bool{}, drift: 1 + (w.rng.Float64()-0.5)*0.001, poke: make(chan struct{}, 1)}
 	w.machines[id] = m
 	w.Net.Slow(ip, w.slowBy)
+	m.unlisted = w.unlisted
 	if zone == w.cutZone {
 		w.Net.Island(ip, true)
 	}
--- a/meet_limits_test.go
+++ b/meet_limits_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"lilaclead/internal/admin"
 	"lilaclead/internal/config"
+	"lilaclead/internal/leader"
 	"lilaclead/internal/standin"
 	"lilaclead/internal/wire"
 )
@@ -437,3 +441,275 @@
 		})
 	}
 }
+
+// leftOver lists the jobs that the state service still has as not over, but for
+// those named, and progress of others.
+func leftOver(w *standin.World, live ...standin.Truth) []string {
+	var out []string
+	for _, k := range append(w.State.Keys("job/"), w.State.Keys("run/")...) {
+		if !slices.ContainsFunc(live, func(j standin.Truth) bool { return strings.Contains(k, string(j.Spec.ID)) }) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// noneLeftWaiting lets time pass, after which no job may have waited for 90 s
+// without a start while a machine had room for it and its team was under its limit.
+func noneLeftWaiting(t *testing.T, w *standin.World, d time.Duration) {
+	t.Helper()
+	type wait struct {
+		n     int
+		since time.Time
+	}
+	waits := map[wire.JobID]wait{}
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
+		could := w.CouldRun()
+		for id, x := range waits {
+			if could[id] != x.n {
+				delete(waits, id)
+			}
+		}
+		for id, n := range could {
+			x, ok := waits[id]
+			if !ok {
+				waits[id] = wait{n, time.Now()}
+			} else if time.Since(x.since) > 90*time.Second {
+				t.Errorf("%d tasks of %s wait for 90 s although there is room", n, id)
+				waits[id] = wait{n, time.Now()}
+			}
+		}
+	}
+}
+
+// Machines come up at once, take tasks before any list has them, and vanish when
+// the leader ends: the next one knows their names only, from its own books, and no
+// list will ever say where they were. What is bound to one place must not wait
+// for that.
+func TestMachinesThatNoListEverHad(t *testing.T) {
+	for seed := range meetSeeds(1) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			playAs(t, limited(), 480+seed, func(w *standin.World, at func(time.Duration)) {
+				w.Boots(0.05)
+				same, sameS := array(1, 12, 30), service(2, 4)
+				same.Spec.SamePlace, sameS.Spec.SamePlace, sameS.Spec.Apart = true, true, false
+				same.Spec.Due = 40
+				w.Unlisted(true)
+				at(10 * time.Second)
+				w.Submit(same, 0)
+				w.Submit(sameS, 0)
+				for n := 0; len(w.Holds(same.Spec.ID)) == 0 || len(w.Holds(sameS.Spec.ID)) == 0; n++ {
+					if n > 60 {
+						t.Fatalf("tasks on %v and %v", w.Holds(same.Spec.ID), w.Holds(sameS.Spec.ID))
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(2 * time.Second)
+				l := w.Leader()
+				w.Kill(l)
+				w.Vanish(append(w.In("a"), w.In("b")...)...)
+				w.Unlisted(false)
+				time.Sleep(5 * time.Second)
+				if n := w.Leader(); n == l || n < 0 {
+					t.Fatalf("leader is %d, was %d", n, l)
+				}
+				_, raw, _ := w.Operate(w.Leader(), "GET", "/admin/view", nil)
+				var v admin.View
+				if wire.Decode(raw, &v) != nil || v.Term == nil || !slices.ContainsFunc(v.Term.Machines, func(m leader.MachineView) bool { return m.Zone == "" && m.Tasks > 0 }) {
+					t.Errorf("no task is on a machine of unknown zone: %+v", v.Term)
+				}
+				w.Up(l) //nolint:errcheck // it was killed above
+				w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+				time.Sleep(90 * time.Second)
+				mustFinish(t, w, same)
+				mustRun(t, w, sameS, "when all is over")
+				if k := leftOver(w, sameS); len(k) > 0 {
+					t.Errorf("left over: %v", k)
+				}
+			})
+		})
+	}
+}
+
+// A release takes effect and is never answered, since the leader that asked for it
+// ends: tasks of a team at its limit were on that machine, some of them cancelled
+// meanwhile, and lists go on showing it for a while.
+func TestReleaseUnansweredWhenTheLeaderEnds(t *testing.T) {
+	for seed := range meetSeeds(1) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			playAs(t, limited(), 490+seed, func(w *standin.World, at func(time.Duration)) {
+				gone, next, s := array(1, 12, 300), array(2, 12, 15), service(3, 4)
+				at(2 * time.Second)
+				w.Submit(gone, 0)
+				w.Submit(s, 0)
+				at(30 * time.Second)
+				w.Submit(next, 0)
+				at(45 * time.Second)
+				usage(t, w, "red", 24)
+				hit := w.Holds(gone.Spec.ID)
+				hit = hit[:1]
+				w.LoseReleases(1000)
+				for _, id := range hit {
+					w.Unlink(id, true)
+				}
+				if !cancelNow(t, w, gone.Spec.ID, 2*time.Second) {
+					t.Fatal("not cancelled")
+				}
+				time.Sleep(3 * time.Second)
+				lost := 0
+				w.Checked(func(c *standin.Checker) {
+					if lost = c.On(gone.Spec.ID); lost == 0 {
+						t.Error("nothing of the cancelled job runs where it can't be stopped")
+					}
+				})
+				for n := 0; slices.ContainsFunc(hit, func(id wire.MachineID) bool { return w.IP(id) != "" }); n++ {
+					if n > 100 {
+						t.Fatal("the machines were not released")
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				// They are gone, and the leader can't know: they count.
+				w.Checked(func(c *standin.Checker) {
+					if n := c.On(next.Spec.ID); c.On(gone.Spec.ID) > 0 || n > 12-lost {
+						t.Errorf("%d tasks of the next job run before the release of %d is answered", n, lost)
+					}
+				})
+				changeLeader(t, w)
+				w.LoseReleases(0)
+				w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+				time.Sleep(90 * time.Second)
+				mustFinish(t, w, next)
+				mustRun(t, w, s, "when all is over")
+				if k := leftOver(w, s); len(k) > 0 {
+					t.Errorf("left over: %v", k)
+				}
+			})
+		})
+	}
+}
+
+// Seeded meetings of two or three troubles at a time, with teams at their limits,
+// bound jobs and cancellations; when they are over nothing may wait any more.
+func TestSeededMeetingsLeaveNothingWaiting(t *testing.T) {
+	for seed := range meetSeeds(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 3))
+			playAs(t, limited(), 500+seed, func(w *standin.World, at func(time.Duration)) {
+				seconds := within(rng)
+				zone := func() wire.Zone { return []wire.Zone{"a", "b"}[rng.IntN(2)] }
+				s, sameS := service(1, 4), service(2, 3)
+				sameS.Spec.SamePlace, sameS.Spec.Apart = true, false
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(sameS, 0)
+				var all []standin.Truth
+				jobs := func(n int) {
+					for range n {
+						j := array(10+len(all), 1+rng.IntN(8), float64(4+rng.IntN(12)))
+						j.Spec.Urgency = []wire.Urgency{wire.BestEffort, wire.Standard, wire.Urgent}[rng.IntN(3)]
+						j.Spec.Owner = []wire.TeamID{"red", "blue"}[rng.IntN(2)]
+						switch rng.IntN(5) {
+						case 0:
+							j.Spec.SamePlace = true
+						case 1:
+							j.Spec.Apart = true
+						case 2:
+							j.Spec.Site = zone()
+						}
+						w.Submit(j, mayCancel(rng))
+						all = append(all, j)
+					}
+				}
+				some := func() (out []wire.MachineID) {
+					bits := rng.Uint64()
+					for i, id := range append(w.In("a"), w.In("b")...) {
+						if bits>>(i%64)&1 == 1 {
+							out = append(out, id)
+						}
+					}
+					return out
+				}
+				jobs(4)
+				met := 0
+				at(30 * time.Second)
+				for range 3 {
+					jobs(2)
+					time.Sleep(seconds(6))
+					var over []func()
+					leaders := w.Leader()
+					for n := range 2 + rng.IntN(2) {
+						ids, z := some(), zone()
+						kind := rng.IntN(9)
+						if n == 0 {
+							kind %= 6 // one that lasts, for the others to meet
+						}
+						switch kind {
+						case 0:
+							w.CutZone(z, true)
+							over = append(over, func() { w.CutZone(z, false) })
+						case 1:
+							for _, id := range ids {
+								w.Stall(id, true)
+							}
+							over = append(over, func() {
+								for _, id := range ids {
+									w.Stall(id, false)
+								}
+							})
+						case 2:
+							w.CloudOutage(true)
+							over = append(over, func() { w.CloudOutage(false) })
+						case 3:
+							w.State.Outage(true)
+							over = append(over, func() { w.State.Outage(false) })
+						case 4:
+							w.Slow(seconds(2) * 6 / 10)
+							over = append(over, func() { w.Slow(0) })
+						case 5:
+							for _, id := range ids {
+								w.Net.Deafen(w.IP(id), true)
+							}
+							over = append(over, func() {
+								for _, id := range ids {
+									w.Net.Deafen(w.IP(id), false)
+								}
+							})
+						case 6:
+							w.Vanish(ids...)
+						case 7:
+							w.State.LoseAnswers(1 + rng.IntN(4))
+						case 8:
+							w.LoseReleases(3)
+							w.LoseRents(2)
+						}
+						if n > 0 && len(over) > 0 {
+							met++
+						}
+						time.Sleep(seconds(2))
+					}
+					jobs(2)
+					if leaders >= 0 && rng.IntN(3) > 0 {
+						w.Kill(leaders)
+						time.Sleep(seconds(8))
+						w.Up(leaders) //nolint:errcheck // it was killed above
+					}
+					time.Sleep(seconds(40))
+					for _, f := range over {
+						f()
+						time.Sleep(seconds(3))
+					}
+				}
+				w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+				if met < 3 {
+					t.Errorf("only %d troubles fell into another one", met)
+				}
+				noneLeftWaiting(t, w, 200*time.Second)
+				mustRun(t, w, s, "when all is over")
+				mustRun(t, w, sameS, "of the one in one place when all is over")
+				if k := leftOver(w, s, sameS); len(k) > 0 {
+					t.Errorf("left over: %v", k)
+				}
+			})
+		})
+	}
+}
