Machines that no list has any more are asked for, though most are silent

Cause: when more than half of the machines are silent none is released, since then it is rather this node that is cut off; nothing bounded that. When most machines vanished at once and no more than that were rented afterwards, they were kept for ever: every later loss of a machine then cost a lease, a zone was taken for cut off until 2.5 leases or twice cancel_s had passed, and a leader that no worker reached could not tell that its workers were elsewhere.

A silent machine that the lists have lacked for longer than they may lag is now released like any other. Its absence still proves nothing: its tasks count until the cloud has answered or the lease has run out.

Fails without it: TestMostMachinesGoneWhenTheLeaderEnds.

--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -68,10 +68,14 @@
 func (t *term) listHosts(ctx context.Context) {
 	wait := 4 * time.Second
 	for {
+		asked := time.Now()
 		hosts, err := t.l.Cloud.List(ctx)
 		next := wait
 		if err == nil {
-			t.post(func() { t.hostList(hosts) })
+			t.post(func() {
+				t.listAt = asked
+				t.hostList(hosts)
+			})
 		} else {
 			next = time.Second + rand.N(time.Second)
 			t.log().Debug("machine list refused", "err", err)
@@ -120,6 +124,7 @@
 		}
 		known := t.machines[h.Name] != nil
 		m := t.machine(h.Name)
+		m.listed = now
 		if !known {
 			m.rentedAt = now.Add(-h.Age.Duration())
 			m.booting = h.State == wire.HostStarting
@@ -238,7 +243,8 @@
 				gone = min(gone, ask+3*probeTimeout)
 			}
 		}
-		t.watchMachine(m, now, ask, gone, cutOff || unknown || cut && quiet < max(lease*5/2, t.set.Workers.CancelS.Duration()*2))
+		kept := cutOff || cut && quiet < max(lease*5/2, t.set.Workers.CancelS.Duration()*2)
+		t.watchMachine(m, now, ask, gone, kept && !t.unlisted(m) || unknown)
 		if deaf <= max(3, up/4) {
 			t.watchHearing(m, now)
 		}
@@ -255,6 +261,15 @@
 	}
 }
 
+// unlisted tells whether the lists have lacked a machine for longer than they may
+// lag. That is no proof of its end, but there is no cut behind which it lives and
+// is to be kept: asking for its release costs nothing and brings the proof. (When
+// most machines had vanished at once it looked like a cut of this node for as long
+// as no more were rented than that, and none of them was ever asked for.)
+func (t *term) unlisted(m *machine) bool {
+	return t.listAt.Sub(m.listed) > 2*t.set.Cloud.ListLagS.Duration()+10*time.Second
+}
+
 // heard is when something last came from a zone's machines, and how many
 // reports had come from all zones by then.
 type heard struct {
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -31,6 +31,7 @@
 	relayed  bool      // the last report came through another node
 	booting  bool      // never reported, as far as we know
 	rentedAt time.Time
+	listed   time.Time // when a list last had it; else when it was first heard of
 	seenAt   time.Time // last message from it
 	tokenAt  time.Time // when it first showed a token of this term
 	answered time.Time // last answer to a report of it
@@ -67,7 +68,7 @@
 	m := t.machines[id]
 	if m == nil {
 		now := time.Now()
-		m = &machine{id: id, tasks: map[wire.Task]*attempt{}, strays: map[wire.Task]bool{}, usedAt: now, rentedAt: now, errs: map[wire.JobID]bool{}}
+		m = &machine{id: id, tasks: map[wire.Task]*attempt{}, strays: map[wire.Task]bool{}, usedAt: now, rentedAt: now, listed: now, errs: map[wire.JobID]bool{}}
 		t.machines[id] = m
 	}
 	return m
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -52,8 +52,9 @@
 	first     wire.Token // the token at the start of the term
 	raising   bool
 	recovered bool
-	placing   bool // the first report round is over
-	listed    bool // a machine list has come in
+	placing   bool      // the first report round is over
+	listed    bool      // a machine list has come in
+	listAt    time.Time // when the last one was asked for
 	early     map[wire.MachineID]wire.Report
 	jobs      map[wire.JobID]*job
 	machines  map[wire.MachineID]*machine
--- a/meet_limits_test.go
+++ b/meet_limits_test.go
@@ -715,3 +715,46 @@
 		})
 	}
 }
+
+// Most machines are gone at once and without a trace when the leader ends: to the
+// next it looks as if it were itself cut off from them, and it keeps them. It must
+// not do so for ever: they are in no list any more.
+func TestMostMachinesGoneWhenTheLeaderEnds(t *testing.T) {
+	for seed := range meetSeeds(1) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			play(t, 510+seed, func(w *standin.World, at func(time.Duration)) {
+				j, s := array(1, 12, 300), service(2, 4)
+				at(2 * time.Second)
+				w.Submit(j, 90*time.Second)
+				w.Submit(s, 0)
+				at(45 * time.Second)
+				mustRun(t, w, s, "before the fault")
+				all := append(w.In("a"), w.In("b")...)
+				keep := w.Holds(s.Spec.ID)
+				lost := slices.DeleteFunc(all, func(id wire.MachineID) bool { return slices.Contains(keep, id) })
+				if len(lost) < 3 || len(lost) <= len(keep) {
+					t.Fatalf("%v hold replicas, %v don't", keep, lost)
+				}
+				l := w.Leader()
+				w.Kill(l)
+				w.Vanish(lost...)
+				followed(t, w, l)
+				w.SellOut("a", true)
+				w.SellOut("b", true)
+				w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+				time.Sleep(60 * time.Second)
+				_, raw, _ := w.Operate(w.Leader(), "GET", "/admin/view", nil)
+				var v admin.View
+				if wire.Decode(raw, &v) != nil || v.Term == nil {
+					t.Fatal("no view")
+				}
+				for _, m := range v.Term.Machines {
+					if w.IP(m.Name) == "" {
+						t.Errorf("%s is gone and still kept, silent for %.0f s", m.Name, m.SilentS)
+					}
+				}
+				mustRun(t, w, s, "when all is over")
+			})
+		})
+	}
+}
