A half-done array of which nothing runs gets its next task at any price too

Cause: no array rents beyond the limit on the price, and one that is late already not even beyond it by the stretch. Only an array without any start was let off that after two minutes. So one that had begun on spot machines, when all of these were taken and no more were to be had, waited for ever with ordinary machines on offer: 11 of 12 tasks never ran.

An array of which nothing was on a machine for two minutes counts as starving like one that never began. It goes by what its leader has seen: a new one waits anew.

Ruled out: proof that never came (the leases ran out at 18 s), the team's limit, refused offers (only spot ones were asked for).

Fails without it: TestSpotTakenForGoodInTheMiddleOfAnArray, both cases.

This is also a matter of price: under an overload more arrays may rent one dear machine each.

--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -952,9 +952,11 @@
 // starves tells whether an array has waited so long without a start that its
 // first task goes before everything but services. Little work left, prices
 // and priorities order the rest; under a steady overload they would keep a
-// large or cheap job waiting for ever.
+// large or cheap job waiting for ever. So it is with one that has begun and of
+// which nothing has run for as long: when the cheap machines that it was on had
+// been taken and there were no more of them, the rest of it was never run.
 func (t *term) starves(j *job, now time.Time) bool {
-	return !j.spec.Service() && j.done == 0 && j.held == 0 && now.Sub(j.at) > startBy/2
+	return !j.spec.Service() && j.held == 0 && now.Sub(j.at) > startBy/2 && (j.done == 0 || now.Sub(later(j.leftAt, t.born)) > startBy/2)
 }
 
 // parallel is how many of a job's waiting tasks should run at a time.
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -442,6 +442,7 @@
 	fails     int
 	notBefore time.Time
 	started   bool
+	leftAt    time.Time // when a task of it was last on a machine
 	runs      runStats
 	from      int // no task of an earlier chunk is pending
 }
@@ -640,6 +641,7 @@
 		a.job.done++
 	}
 	a.m.usedAt = time.Now()
+	a.job.leftAt = a.m.usedAt
 	t.checkOver(a.job)
 	t.wantRound()
 }
--- a/internal/standin/limits.go
+++ b/internal/standin/limits.go
@@ -219,3 +219,10 @@
 	}
 	return out
 }
+
+// NoSpot makes the cloud have no more spot machines to rent, or have them again.
+func (w *World) NoSpot(on bool) {
+	w.mu.Lock()
+	w.noSpot = on
+	w.mu.Unlock()
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -61,6 +61,7 @@
 	slowBy      time.Duration
 	unlisted    bool
 	slowSaves   bool
+	noSpot      bool
 	soldOut     map[wire.Zone]bool
 	listLag     time.Duration
 	bootFactor  float64
@@ -475,7 +476,7 @@
 	if !known {
 		of := offer(b.Kit, b.Site, b.Standby)
 		n := min(b.Count, w.capacity[of])
-		if n == 0 || w.soldOut[b.Site] {
+		if n == 0 || w.soldOut[b.Site] || w.noSpot && b.Standby {
 			wire.Answer(rw, http.StatusServiceUnavailable, wire.Reason{Error: "no capacity"})
 			return
 		}
--- a/meet_limits_test.go
+++ b/meet_limits_test.go
@@ -758,3 +758,37 @@
 		})
 	}
 }
+
+// All spot machines are taken at once while an array that may use them is half
+// done, the cloud has no more of them for good, and the leader changes. The rest
+// of the array must run on ordinary machines in the end, whatever they cost.
+func TestSpotTakenForGoodInTheMiddleOfAnArray(t *testing.T) {
+	for _, site := range []wire.Zone{"", "a"} {
+		t.Run("bound to "+string(site), func(t *testing.T) {
+			play(t, 520, func(w *standin.World, at func(time.Duration)) {
+				j := array(1, 12, 20)
+				j.Spec.Site = site
+				at(2 * time.Second)
+				w.Submit(j, 0)
+				done := 0
+				for done == 0 {
+					time.Sleep(100 * time.Millisecond)
+					w.Checked(func(c *standin.Checker) { done = j.Spec.Parts - c.On(j.Spec.ID) - c.Waiting(j.Spec.ID) })
+				}
+				w.NoSpot(true)
+				if w.Take(100, func(spot bool, _ int) bool { return spot }) == 0 {
+					t.Error("no spot machine to take")
+				}
+				changeLeader(t, w)
+				w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+				if done == j.Spec.Parts {
+					t.Error("the array was done already")
+				}
+				for n := 0; n < 400 && w.State.Keys("job/") != nil; n++ {
+					time.Sleep(time.Second)
+				}
+				mustFinish(t, w, j)
+			})
+		})
+	}
+}
