--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -57,7 +57,7 @@
 	recovered bool
 	placing   bool      // the first report round is over
 	listed    bool      // a machine list has come in
-	listAt    time.Time // when the last one did
+	listAt    time.Time // when the last one was asked for
 	early     map[wire.MachineID]wire.Report
 	jobs      map[wire.JobID]*job
 	past      map[wire.JobID]bool // archived, and news of them may still come
@@ -476,6 +476,7 @@
 	fails     int
 	notBefore time.Time
 	started   bool
+	leftAt    time.Time // when a task of it was last on a machine
 	runs      runStats
 	from      int // no task of an earlier chunk is pending
 }
@@ -674,6 +675,7 @@
 		a.job.done++
 	}
 	a.m.usedAt = time.Now()
+	a.job.leftAt = a.m.usedAt
 	t.checkOver(a.job)
 	t.wantRound()
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -27,6 +27,8 @@
 	upAt     time.Time
 	dead     bool
 	sick     bool
+	stalled  bool
+	unlisted bool
 	notice   time.Time
 	shift    wire.Session
 	tally    wire.Tally
@@ -234,6 +236,9 @@
 				continue
 			}
 			x.saved = x.phase == wire.Active && o.WindDown != nil && *o.WindDown >= m.w.truths[t.Job].Spec.SnapshotS && m.w.truths[t.Job].Spec.SnapshotEveryS > 0
+			if m.save(t, x, o.WindDown) {
+				continue
+			}
 			x.cancel()
 			m.exit(t, x, wire.CauseStopped)
 		case wire.Forget:
@@ -279,6 +284,7 @@
 	}
 	m.w.spawn(func() {
 		sleep(ctx, fetch)
+		m.unstalled(ctx)
 		m.w.mu.Lock()
 		if ctx.Err() != nil || m.tasks[t] != x {
 			m.w.mu.Unlock()
@@ -297,6 +303,7 @@
 			<-ctx.Done()
 		default:
 			sleep(ctx, time.Duration(truth.runS(t.Index)*float64(time.Second)))
+			m.unstalled(ctx)
 		}
 		m.w.mu.Lock()
 		defer m.w.mu.Unlock()
