--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -26,6 +26,13 @@
 	// team and of each class's largest jobs must have begun, the largest ones
 	// within four minutes.
 	Unserved Rule = "unserved"
+	// AcceptedWrongly: a submission that is malformed or can never run was
+	// accepted; RefusedWrongly: one that is neither was answered 400 or 422.
+	AcceptedWrongly Rule = "accepted_wrongly"
+	RefusedWrongly  Rule = "refused_wrongly"
+	// LeftWaiting: while all was calm a job started nothing although a machine
+	// that fits had room all that time and its team was under its limit.
+	LeftWaiting Rule = "left_waiting"
 )
 
 // Break of a rule.
@@ -51,6 +58,7 @@
 type Checker struct {
 	CancelS time.Duration
 	Limits  map[wire.TeamID]Limit
+	Flavors []wire.Flavor // nil: not known, and what fits is not judged
 	Breaks  []Break
 
 	jobs map[wire.JobID]*seen
@@ -61,25 +69,52 @@
 	ever  map[wire.Task]bool
 	// lastAnswered is when a user's poll was last answered.
 	lastAnswered time.Time
-	// calm is since when all troubles are over; zero: not yet.
-	calm time.Time
+	// answered and failed count the polls of all users.
+	answered, failed int
+	// calm is since when all troubles are over, by the test's word; zero: not
+	// yet. quiet is the same by what the world sees.
+	calm, quiet time.Time
+	// late counts starts after a cancellation was confirmed, lateDone polls
+	// that were not told done in time.
+	late, lateDone int
+	// latest is the latest time that the checker was told.
+	latest time.Time
+	// posted are the ids that some submission named, in whatever form.
+	posted map[wire.JobID]bool
 }
 
 type seen struct {
 	spec      wire.Spec
 	accepted  bool
 	told      wire.Status // the final state that a user was told
+	toldAt    time.Time
 	cancelReq bool
+	askedAt   time.Time // when its user first asked to cancel
 	cancelled time.Time // when a user was told
+	overstay  bool      // noted that it outlives its cancellation
 	done      map[int]bool
+	completed time.Time // of the last task
 	unread    time.Time // since when every poll failed
+	others    tally     // polls of other jobs since then
+	tried     time.Time // of the first attempt to submit
 	at        time.Time // of the acceptance
 	began     time.Time // of the first task
+	waits     waits
 }
 
+// tally of polls.
+type tally struct{ answered, failed int }
+
 // NewChecker makes a checker.
 func NewChecker(cancelS time.Duration, limits map[wire.TeamID]Limit) *Checker {
-	return &Checker{CancelS: cancelS, Limits: limits, jobs: map[wire.JobID]*seen{}, on: map[wire.Task]Place{}, ever: map[wire.Task]bool{}}
+	return &Checker{CancelS: cancelS, Limits: limits, jobs: map[wire.JobID]*seen{}, on: map[wire.Task]Place{}, ever: map[wire.Task]bool{}, posted: map[wire.JobID]bool{}}
+}
+
+// clock notes how late it is.
+func (c *Checker) clock(now time.Time) {
+	if now.After(c.latest) {
+		c.latest = now
+	}
 }
 
 func (c *Checker) broke(at time.Time, r Rule, format string, args ...any) {
@@ -89,54 +124,136 @@
 // Submitted notes a user's attempt to submit.
 func (c *Checker) Submitted(s wire.Spec) {
 	if c.jobs[s.ID] == nil {
-		c.jobs[s.ID] = &seen{spec: s, done: map[int]bool{}}
+		c.jobs[s.ID] = &seen{spec: s, done: map[int]bool{}, tried: c.latest}
 	}
 }
 
 // Accepted notes a 201 or 200 to a submission.
 func (c *Checker) Accepted(id wire.JobID, now time.Time) {
-	if j := c.jobs[id]; j != nil {
-		if !j.accepted {
-			j.accepted, j.at = true, now
+	c.clock(now)
+	j := c.jobs[id]
+	if j == nil {
+		if !c.posted[id] {
+			c.broke(now, Invented, "%s accepted", id)
+		}
+		return
+	}
+	if why := c.never(&j.spec); why != "" && !j.accepted {
+		c.broke(now, AcceptedWrongly, "%s accepted, but %s", id, why)
+	}
+	c.known(j, now)
+	j.unread = time.Time{}
+}
+
+// known notes that a user knows that the job is accepted.
+func (c *Checker) known(j *seen, now time.Time) {
+	if !j.accepted {
+		j.accepted, j.at = true, now
+		if j.tried.IsZero() {
+			j.tried = now
 		}
-		j.unread = time.Time{}
-	} else {
-		c.broke(now, Invented, "%s accepted", id)
 	}
 }
 
 // Refused notes the answer to a submission that is not retried.
 func (c *Checker) Refused(id wire.JobID, status int, now time.Time) {
-	if j := c.jobs[id]; j != nil && j.accepted && (status == 400 || status == 422) {
+	c.clock(now)
+	j := c.jobs[id]
+	if j == nil || status != 400 && status != 422 {
+		return
+	}
+	if j.accepted {
 		c.broke(now, Forgotten, "repeated submission of %s answered %d", id, status)
+	} else if c.Flavors != nil && c.never(&j.spec) == "" {
+		c.broke(now, RefusedWrongly, "%s answered %d", id, status)
 	}
 }
 
 // CancelAsked notes that a user asks to cancel.
 func (c *Checker) CancelAsked(id wire.JobID) {
-	if j := c.jobs[id]; j != nil {
-		j.cancelReq = true
+	if j := c.jobs[id]; j != nil && !j.cancelReq {
+		j.cancelReq, j.askedAt = true, c.latest
+	}
+}
+
+// Replied notes the answer to a submission that was sent at a certain time.
+func (c *Checker) Replied(body []byte, status int, answer []byte, asked, now time.Time) {
+	var sent, got wire.JobBrief
+	if wire.Decode(body, &sent) != nil || c.jobs[sent.ID] == nil {
+		return
+	}
+	j := c.jobs[sent.ID]
+	switch {
+	case status != 200 && status != 201:
+		c.Refused(sent.ID, status, now)
+		return
+	case status == 201 && j.accepted && !asked.Before(j.at):
+		c.broke(now, Forgotten, "%s accepted anew", sent.ID)
+	}
+	c.Accepted(sent.ID, now)
+	if wire.Decode(answer, &got) == nil && got.ID == sent.ID {
+		c.ToldSince(sent.ID, got.Status, asked, now)
+	}
+}
+
+// CancelAnswered notes the answer to a request to cancel.
+func (c *Checker) CancelAnswered(id wire.JobID, status int, answer []byte, asked, now time.Time) {
+	c.clock(now)
+	j := c.jobs[id]
+	switch {
+	case status == 404 && j != nil && j.accepted && !asked.Before(j.at):
+		c.broke(now, Forgotten, "cancellation of %s answered 404", id)
+	case status == 200 && j == nil && !c.posted[id]:
+		c.broke(now, Invented, "cancellation of %s answered 200", id)
+	case status == 200 && j != nil:
+		var got wire.JobBrief
+		if wire.Decode(answer, &got) == nil {
+			c.ToldSince(id, got.Status, asked, now)
+		}
 	}
 }
 
-// Polled notes a poll's answer; status 0: none.
+// Polled notes the answer of now to a poll of now; status 0: none.
 func (c *Checker) Polled(id wire.JobID, status int, st wire.Status, now time.Time) {
+	c.Answered(id, status, st, now, now)
+}
+
+// Answered notes the answer to a poll that was sent at a certain time; status
+// 0: none.
+func (c *Checker) Answered(id wire.JobID, status int, st wire.Status, asked, now time.Time) {
+	c.clock(now)
 	j := c.jobs[id]
+	if status == 200 || status == 404 {
+		c.answered++
+	} else {
+		c.failed++
+	}
 	switch {
 	case status == 200 && j == nil:
-		c.broke(now, Invented, "%s answered %s", id, st)
+		if !c.posted[id] {
+			c.broke(now, Invented, "%s answered %s", id, st)
+		}
 	case status == 404 && j != nil && j.accepted:
-		c.broke(now, Forgotten, "%s answered 404", id)
+		// Not so if the question was on its way when its user was told.
+		if !asked.Before(j.at) {
+			c.broke(now, Forgotten, "%s answered 404", id)
+		}
 	case status == 200:
 		c.lastAnswered = now
 		j.unread = time.Time{}
-		c.Told(id, st, now)
+		c.ToldSince(id, st, asked, now)
+		if !st.Final() && !j.cancelReq && !j.completed.IsZero() && asked.Sub(j.completed) > 3*time.Second {
+			c.lateDone++
+		}
 	case j != nil && j.accepted:
 		if j.unread.IsZero() {
-			j.unread = now
+			j.unread, j.others = asked, tally{c.answered, c.failed - 1}
 		}
-		others := now.Sub(j.unread) > 90*time.Second && now.Sub(c.lastAnswered) < 10*time.Second
-		calm := !c.calm.IsZero() && now.Sub(c.calm) > 75*time.Second && now.Sub(j.unread) > 75*time.Second
+		j.others.failed++ // its own
+		spell := now.Sub(j.unread)
+		most := c.answered-j.others.answered > c.failed-j.others.failed
+		others := spell > 90*time.Second && (most || now.Sub(c.lastAnswered) < 10*time.Second)
+		calm := c.settled(now, 75*time.Second) && spell > 75*time.Second
 		if others || calm {
 			c.broke(now, Forgotten, "every poll for %s fails", id)
 			j.unread = time.Time{}
@@ -144,21 +261,34 @@
 	}
 }
 
-// Told notes a state that a user was told, by whatever answer.
+// settled tells whether all troubles have been over for so long.
+func (c *Checker) settled(now time.Time, long time.Duration) bool {
+	return !c.calm.IsZero() && now.Sub(c.calm) > long || !c.quiet.IsZero() && now.Sub(c.quiet) > long
+}
+
+// Told notes a state that a user was told now, by whatever answer.
 func (c *Checker) Told(id wire.JobID, st wire.Status, now time.Time) {
+	c.ToldSince(id, st, now, now)
+}
+
+// ToldSince notes a state that a user was told in answer to a question that
+// was sent at a certain time: what was on its way when a newer answer arrived
+// may be older. Final states exclude each other whenever they were asked for.
+func (c *Checker) ToldSince(id wire.JobID, st wire.Status, asked, now time.Time) {
+	c.clock(now)
 	j := c.jobs[id]
 	if j == nil {
 		return
 	}
-	if j.told != "" && st != j.told {
+	c.known(j, now)
+	if j.told != "" && st != j.told && (st.Final() || !asked.Before(j.toldAt)) {
 		c.broke(now, WentBack, "%s was %s and is called %s", id, j.told, st)
 	}
 	switch st {
 	case wire.Done:
-		if len(j.done) < j.spec.Parts {
+		if len(j.done) < j.spec.Parts || j.spec.Service() {
 			c.broke(now, NotDone, "%s called done with %d of %d tasks", id, len(j.done), j.spec.Parts)
 		}
-		j.told = st
 	case wire.Cancelled:
 		if !j.cancelReq {
 			c.broke(now, WentBack, "%s called cancelled, which nobody asked for", id)
@@ -166,12 +296,15 @@
 		if j.told == "" {
 			j.cancelled = now
 		}
-		j.told = st
+	}
+	if st.Final() && j.told != st {
+		j.told, j.toldAt = st, now
 	}
 }
 
 // Started notes that a task is on a machine now.
 func (c *Checker) Started(t wire.Task, p Place, now time.Time) {
+	c.clock(now)
 	c.runs++
 	if c.ever[t] {
 		c.again++
@@ -182,10 +315,11 @@
 		c.broke(now, WrongPlace, "%s was never submitted", t)
 		return
 	}
-	if at, on := c.on[t]; on && at.Machine != p.Machine {
-		c.broke(now, RanTwice, "%s runs on %s and is started on %s", t, at.Machine, p.Machine)
+	j.waits.end()
+	if !j.cancelled.IsZero() {
+		c.late++
 	}
-	c.on[t] = p
+	c.goesOn(t, j, p, now, "starts")
 	if j.began.IsZero() {
 		j.began = now
 	}
@@ -215,8 +349,24 @@
 	if l := c.Limits[s.Owner]; l.CPUs > 0 && used.CPUs > l.CPUs+wire.Eps || l.Cards > 0 && used.Cards > l.Cards+wire.Eps {
 		c.broke(now, Quota, "team %s uses %.1f cpus", s.Owner, used.CPUs)
 	}
+}
+
+// Resumed notes that a task goes on after its machine hung: like a start, but
+// for what depends on where it was started.
+func (c *Checker) Resumed(t wire.Task, p Place, now time.Time) {
+	c.clock(now)
+	if j := c.jobs[t.Job]; j != nil {
+		c.goesOn(t, j, p, now, "goes on")
+	}
+}
+
+func (c *Checker) goesOn(t wire.Task, j *seen, p Place, now time.Time, what string) {
+	if at, on := c.on[t]; on && at.Machine != p.Machine {
+		c.broke(now, RanTwice, "%s is on %s and %s on %s", t, at.Machine, what, p.Machine)
+	}
+	c.on[t] = p
 	if !j.cancelled.IsZero() && now.Sub(j.cancelled) > c.CancelS {
-		c.broke(now, RanCancelled, "%s starts on %s", t, p.Machine)
+		c.broke(now, RanCancelled, "%s %s on %s", t, what, p.Machine)
 	}
 }
 
@@ -232,10 +382,17 @@
 
 // Tick looks for tasks of cancelled jobs that are still on a machine.
 func (c *Checker) Tick(now time.Time) {
+	c.clock(now)
 	for t, p := range c.on {
-		if j := c.jobs[t.Job]; !j.cancelled.IsZero() && now.Sub(j.cancelled) > c.CancelS {
+		// Once for each job is enough.
+		if j := c.jobs[t.Job]; !j.overstay && !j.cancelled.IsZero() && now.Sub(j.cancelled) > c.CancelS {
 			c.broke(now, RanCancelled, "%s still on %s", t, p.Machine)
-			j.cancelled = now // once is enough
+			j.overstay = true
+		}
+	}
+	for _, j := range c.jobs {
+		if j.completed.IsZero() && len(j.done) >= j.spec.Parts {
+			j.completed = now
 		}
 	}
 }
@@ -243,17 +400,25 @@
 // Calm notes that all troubles are over from now on.
 func (c *Checker) Calm(now time.Time) { c.calm = now }
 
+// Quiet notes whether the world sees a trouble now; over since a time.
+func (c *Checker) Quiet(since time.Time, quiet bool) {
+	if !quiet {
+		since = time.Time{}
+	}
+	c.quiet = since
+}
+
 // beginBy is when the largest jobs must have begun.
 const beginBy = 4 * time.Minute
 
 // served checks that no class, team or size was left out.
 func (c *Checker) served(now time.Time) {
-	type tally struct{ all, served int }
-	count := map[string]*tally{}
+	type share struct{ all, served int }
+	count := map[string]*share{}
 	add := func(what string, served bool) {
 		k := count[what]
 		if k == nil {
-			k = &tally{}
+			k = &share{}
 			count[what] = k
 		}
 		k.all++
@@ -266,13 +431,15 @@
 		largest[j.spec.Lane] = max(largest[j.spec.Lane], j.spec.Parts)
 	}
 	for _, j := range c.jobs {
-		if !j.accepted || j.cancelReq || now.Sub(j.at) < beginBy {
+		// A job whose user gave it up in time, or that is too young, tells
+		// nothing.
+		if !j.accepted || j.cancelReq && j.askedAt.Sub(j.tried) < beginBy || now.Sub(j.tried) < beginBy {
 			continue
 		}
 		add("class "+j.spec.Lane, !j.began.IsZero())
 		add("team "+string(j.spec.Owner), !j.began.IsZero())
 		if j.spec.Parts*2 > largest[j.spec.Lane] {
-			add("the largest of class "+j.spec.Lane, !j.began.IsZero() && j.began.Sub(j.at) <= beginBy)
+			add("the largest of class "+j.spec.Lane, !j.began.IsZero() && j.began.Sub(j.tried) <= beginBy)
 		}
 	}
 	for what, k := range count {
@@ -320,5 +487,13 @@
 	return n
 }
 
+// LateStarts counts the starts after a user was told that the job is cancelled,
+// also those within the time in which its tasks must be gone.
+func (c *Checker) LateStarts() int { return c.late }
+
+// LateDone counts the polls that were sent more than 3 s after a job's last task
+// had completed and were not answered with its end.
+func (c *Checker) LateDone() int { return c.lateDone }
+
 // Again counts the starts of tasks that had been started before.
 func (c *Checker) Again() int { return c.again }
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -7,6 +7,24 @@
 	"lilaclead/internal/wire"
 )
 
+// beside is a machine with room for two tasks of the tests' job.
+var beside = Room{Place: Place{Machine: "n-1", Kit: "c4", Zone: "a"}, Open: true, CPUs: 8, RAM: 8, ImageRoom: 20}
+
+// survey shows a quiet world with that machine for some seconds.
+func survey(c *Checker, seconds int) {
+	t0 := time.Unix(1000, 0)
+	for s := range seconds {
+		c.Quiet(t0, true)
+		c.Survey([]Room{beside}, t0.Add(time.Duration(s)*time.Second))
+	}
+}
+
+func sent(s wire.Spec) []byte { return wire.Encode(Submission(s)) }
+
+func brief(id wire.JobID, st wire.Status) []byte {
+	return wire.Encode(wire.JobBrief{ID: id, Status: st})
+}
+
 // A checker that can't fail proves nothing: each rule is broken here once,
 // deliberately, and must be the one that is noted.
 func TestEveryRuleCanBreak(t *testing.T) {
@@ -68,6 +86,100 @@
 			c.Started(task(0), here, t0.Add(250*time.Second))
 			c.End(t0.Add(5 * time.Minute))
 		}},
+		"goes on elsewhere after a hang": {RanTwice, func(c *Checker) { c.Started(task(0), here, t0); c.Resumed(task(0), there, t0) }},
+		"goes on after a hang though cancelled": {RanCancelled, func(c *Checker) {
+			c.Started(task(0), here, t0)
+			c.Left(task(0), "n-1", false)
+			c.CancelAsked("req-1")
+			c.Told("req-1", wire.Cancelled, t0)
+			c.Resumed(task(0), here, t0.Add(11*time.Second))
+		}},
+		"one zone, elsewhere": {WrongPlace, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Parts: 2, CPUs: 1, SamePlace: true})
+			c.Started(wire.Task{Job: "req-2", Index: 0}, here, t0)
+			c.Started(wire.Task{Job: "req-2", Index: 1}, there, t0)
+		}},
+		"wrong type": {WrongPlace, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Parts: 2, CPUs: 1, Kits: []wire.Kit{"c16"}})
+			c.Started(wire.Task{Job: "req-2"}, here, t0)
+		}},
+		"wrong zone": {WrongPlace, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Parts: 2, CPUs: 1, Site: "b"})
+			c.Started(wire.Task{Job: "req-2"}, here, t0)
+		}},
+		"a service called done": {NotDone, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Shape: wire.Daemon, Parts: 1, CPUs: 1})
+			c.Started(wire.Task{Job: "req-2"}, here, t0)
+			c.Left(wire.Task{Job: "req-2"}, "n-1", true)
+			c.Told("req-2", wire.Done, t0)
+		}},
+		"404 after a poll that knew it": {Forgotten, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Parts: 1, CPUs: 1})
+			c.Polled("req-2", 200, wire.Queued, t0)
+			c.Polled("req-2", 404, "", t0.Add(time.Second))
+		}},
+		"cancellation answered 404": {Forgotten, func(c *Checker) { c.CancelAnswered("req-1", 404, nil, t0, t0) }},
+		"accepted anew":             {Forgotten, func(c *Checker) { c.Replied(sent(spec), 201, brief("req-1", wire.Queued), t0, t0) }},
+		"a repeat is answered an older": {WentBack, func(c *Checker) {
+			c.CancelAsked("req-1")
+			c.Told("req-1", wire.Cancelled, t0)
+			c.Replied(sent(spec), 200, brief("req-1", wire.Queued), t0, t0)
+		}},
+		"asked before, and two ends": {WentBack, func(c *Checker) {
+			c.CancelAsked("req-1")
+			for i := range 4 {
+				c.Started(task(i), Place{Machine: "n-1", Zone: wire.Zone(rune('a' + i))}, t0)
+				c.Left(task(i), "n-1", true)
+			}
+			c.Told("req-1", wire.Done, t0.Add(2*time.Second))
+			c.Answered("req-1", 200, wire.Cancelled, t0, t0.Add(3*time.Second))
+		}},
+		"cancellation of nothing":  {Invented, func(c *Checker) { c.CancelAnswered("req-9", 200, brief("req-9", wire.Cancelled), t0, t0) }},
+		"accepts what nobody sent": {Invented, func(c *Checker) { c.Accepted("req-9", t0) }},
+		"polls fail although few others do": {Forgotten, func(c *Checker) {
+			for s := range 100 {
+				now := t0.Add(time.Duration(s) * time.Second)
+				c.Polled("req-1", 503, "", now)
+				if s < 60 {
+					c.Polled("req-9", 404, "", now)
+					c.Polled("req-9", 404, "", now)
+				}
+			}
+		}},
+		"unknown team": {AcceptedWrongly, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "green", Parts: 1, CPUs: 1})
+			c.Accepted("req-2", t0)
+		}},
+		"fits no type": {AcceptedWrongly, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Parts: 1, CPUs: 1, RAM: 99})
+			c.Accepted("req-2", t0)
+		}},
+		"fits no allowed type": {AcceptedWrongly, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Parts: 1, CPUs: 1, Kits: []wire.Kit{"g8"}})
+			c.Accepted("req-2", t0)
+		}},
+		"a task over the limit": {AcceptedWrongly, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Parts: 1, CPUs: 9})
+			c.Accepted("req-2", t0)
+		}},
+		"a service over the limit": {AcceptedWrongly, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Shape: wire.Daemon, Parts: 3, CPUs: 4})
+			c.Accepted("req-2", t0)
+		}},
+		"what could run is refused": {RefusedWrongly, func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Parts: 3, CPUs: 4})
+			c.Refused("req-2", 422, t0)
+		}},
+		"left waiting": {LeftWaiting, func(c *Checker) { survey(c, 100) }},
+		"left waiting after a trouble": {LeftWaiting, func(c *Checker) {
+			survey(c, 80)
+			c.Quiet(time.Time{}, false)
+			c.Survey([]Room{beside}, t0)
+			if len(c.Breaks) > 0 {
+				return
+			}
+			survey(c, 100)
+		}},
 		"nothing ran": {NothingRan, func(c *Checker) { c.End(t0) }},
 		"polls fail": {Forgotten, func(c *Checker) {
 			other := spec
@@ -83,6 +195,7 @@
 	}
 	for name, k := range cases {
 		c := NewChecker(10*time.Second, map[wire.TeamID]Limit{"red": {CPUs: 8}})
+		c.Flavors = []wire.Flavor{{Name: "c4", CPUs: 16, RAM: 16, LocalGB: 20, Sites: []wire.Zone{"a", "b"}}}
 		c.Submitted(spec)
 		c.Accepted("req-1", t0)
 		k.do(c)
@@ -91,3 +204,142 @@
 		}
 	}
 }
+
+// What breaks no rule must not be noted, or the tests would be eased.
+func TestWhatIsAllowed(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	after := func(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+	task := wire.Task{Job: "req-1", Index: 0}
+	here := Place{Machine: "n-1", Kit: "c4", Zone: "a"}
+	with := func(change func(r *Room)) Room {
+		r := beside
+		change(&r)
+		return r
+	}
+	waiting := func(r Room) func(*Checker) {
+		return func(c *Checker) {
+			for s := range 200 {
+				c.Quiet(t0, true)
+				c.Survey([]Room{r}, after(float64(s)))
+			}
+		}
+	}
+	cases := map[string]func(c *Checker){
+		"an answer on its way while a newer one came": func(c *Checker) {
+			c.CancelAsked("req-1")
+			c.Answered("req-1", 200, wire.Cancelled, after(1), after(2))
+			c.Answered("req-1", 200, wire.Running, after(1), after(3))
+		},
+		"a 404 that was on its way": func(c *Checker) { c.Answered("req-1", 404, "", after(-1), after(1)) },
+		"no room":                   waiting(with(func(r *Room) { r.CPUs = 3 })),
+		"no memory":                 waiting(with(func(r *Room) { r.RAM = 3 })),
+		"not up, or faulty":         waiting(with(func(r *Room) { r.Open = false })),
+		"a spot machine":            waiting(with(func(r *Room) { r.Spot = true })),
+		"an image too large":        waiting(with(func(r *Room) { r.ImageRoom = 0.5 })),
+		"the team at its limit":     waiting(with(func(r *Room) { r.Tasks = []wire.Task{{Job: "req-2", Index: 0}, {Job: "req-2", Index: 1}} })),
+		"half is there already":     waiting(with(func(r *Room) { r.Tasks = []wire.Task{{Job: "req-1", Index: 0}, {Job: "req-1", Index: 1}} })),
+		"all of it runs": func(c *Checker) {
+			c.Submitted(wire.Spec{ID: "req-3", Owner: "blue", Parts: 1, CPUs: 1})
+			c.Accepted("req-3", t0)
+			c.CancelAsked("req-1")
+			waiting(with(func(r *Room) { r.Tasks = []wire.Task{{Job: "req-3"}} }))(c)
+		},
+		"something starts now and then": func(c *Checker) {
+			for s := range 200 {
+				c.Quiet(t0, true)
+				if s%80 == 79 {
+					c.Started(task, here, after(float64(s)))
+				}
+				c.Survey([]Room{beside}, after(float64(s)))
+			}
+		},
+		"troubles between": func(c *Checker) {
+			for s := range 200 {
+				c.Quiet(t0, s%80 != 79)
+				c.Survey([]Room{beside}, after(float64(s)))
+			}
+		},
+		"its user gave up": func(c *Checker) { c.CancelAsked("req-1"); waiting(beside)(c) },
+	}
+	for name, do := range cases {
+		c := NewChecker(10*time.Second, map[wire.TeamID]Limit{"red": {CPUs: 8}, "blue": {}})
+		c.Flavors = []wire.Flavor{{Name: "c4", CPUs: 16, RAM: 16, LocalGB: 20, Sites: []wire.Zone{"a", "b"}}}
+		c.Submitted(wire.Spec{ID: "req-1", Owner: "red", Parts: 4, CPUs: 4, RAM: 4, ImageGB: 1, Apart: true})
+		c.Submitted(wire.Spec{ID: "req-2", Owner: "red", Parts: 2, CPUs: 4})
+		c.Accepted("req-1", t0)
+		do(c)
+		if len(c.Breaks) > 0 {
+			t.Errorf("%s: noted %v", name, c.Breaks)
+		}
+	}
+}
+
+// Starts after a cancellation and polls that are not told done in time break no
+// rule by themselves, and are counted.
+func TestCountsOfWhatIsLate(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	c := NewChecker(10*time.Second, nil)
+	here := Place{Machine: "n-1", Kit: "c4", Zone: "a"}
+	for n, id := range []wire.JobID{"req-1", "req-2"} {
+		c.Submitted(wire.Spec{ID: id, Parts: 2, CPUs: 1})
+		c.Accepted(id, t0)
+		c.Started(wire.Task{Job: id}, here, t0)
+		c.Left(wire.Task{Job: id}, "n-1", true)
+		if n == 0 {
+			c.Started(wire.Task{Job: id, Index: 1}, here, t0)
+			c.Left(wire.Task{Job: id, Index: 1}, "n-1", true)
+		}
+	}
+	c.Tick(t0)
+	c.Answered("req-1", 200, wire.Running, t0.Add(2*time.Second), t0.Add(4*time.Second))
+	if c.LateDone() != 0 {
+		t.Error("a poll 2 s after the end is counted")
+	}
+	c.Answered("req-1", 200, wire.Running, t0.Add(4*time.Second), t0.Add(4*time.Second))
+	c.Answered("req-2", 200, wire.Running, t0.Add(4*time.Second), t0.Add(4*time.Second))
+	c.CancelAsked("req-2")
+	c.Told("req-2", wire.Cancelled, t0.Add(5*time.Second))
+	c.Started(wire.Task{Job: "req-2", Index: 1}, here, t0.Add(6*time.Second))
+	if c.LateDone() != 1 || c.LateStarts() != 1 || len(c.Breaks) > 0 {
+		t.Errorf("%d late polls, %d late starts, %v", c.LateDone(), c.LateStarts(), c.Breaks)
+	}
+}
+
+// A submission that is malformed must not be accepted, whichever field is to
+// blame, and one that is not must not be blamed.
+func TestMalformedIsKnown(t *testing.T) {
+	good := wire.Spec{ID: "req-000001", Lane: "solve", Owner: "red", Shape: wire.Sweep, Urgency: wire.Standard, Parts: 1, CPUs: 1, RAM: 1, Bundle: "img-a"}
+	noted := func(body any) bool {
+		c := NewChecker(time.Second, nil)
+		c.Posted(bodyOf(body), 201, time.Unix(1000, 0))
+		for _, b := range c.Breaks {
+			if b.Rule != AcceptedWrongly {
+				t.Errorf("%v noted %v", body, b)
+			}
+		}
+		return len(c.Breaks) > 0
+	}
+	if noted(Submission(good)) {
+		t.Error("a good submission is blamed")
+	}
+	for k := range Submission(good) {
+		m := Submission(good)
+		delete(m, k)
+		if nullable := k == "kits" || k == "site" || k == "dueS"; noted(m) == nullable {
+			t.Errorf("without %s", k)
+		}
+		m[k] = []byte{1}
+		if !noted(m) {
+			t.Errorf("a wrong %s", k)
+		}
+	}
+	for k, v := range map[string]any{"nameId": "job-1", "shape": "ensemble", "urgency": "now", "parts": 100_001, "cpus": -1.0, "dueS": -1.0, "ramGb": "many"} {
+		m := Submission(good)
+		if m[k] = v; !noted(m) {
+			t.Errorf("%s %v", k, v)
+		}
+	}
+	if !noted([]string{"a"}) || !noted([]byte{0xff, 1}) {
+		t.Error("what is no map")
+	}
+}
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"lilaclead/internal/netio"
@@ -32,11 +35,16 @@
 	return m
 }
 
-// Ask makes one request to a node.
+// Ask makes one request to a node. Users wait 2 s for the answer to a poll, 5 s
+// for any other.
 func Ask(ctx context.Context, nw netio.Net, method, url string, body any) (int, []byte, http.Header) {
 	tr := nw.Transport(1, 1)
 	defer tr.CloseIdleConnections()
-	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	patience := 5 * time.Second
+	if method == "GET" && strings.Contains(url, jobsPath+"/") {
+		patience = 2 * time.Second
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	status, out, h, err := netio.Call(ctx, &http.Client{Transport: tr}, method, url, body, 1<<20)
 	if err != nil {
@@ -45,9 +53,81 @@
 	return status, out, h
 }
 
-// Ask makes one request as a user to the i-th node.
+// Ask makes one request as a user to the i-th node. The checker learns of
+// whatever is asked and answered here.
 func (w *World) Ask(i int, method, path string, body any) (int, []byte, http.Header) {
-	return Ask(w.ctx, w.host(userIP), method, "http://"+NodeIP(i)+":8080"+path, body)
+	asked := time.Now()
+	rest := strings.TrimPrefix(path, jobsPath)
+	id, cancel := strings.CutSuffix(strings.TrimPrefix(rest, "/"), "/cancel")
+	if method == "POST" && cancel {
+		w.Checked(func(c *Checker) { c.CancelAsked(wire.JobID(id)) })
+	}
+	if method == "POST" && path == jobsPath {
+		w.Checked(func(c *Checker) { c.Posted(bodyOf(body), 0, asked) })
+	}
+	status, out, h := Ask(w.ctx, w.host(userIP), method, "http://"+NodeIP(i)+":8080"+path, body)
+	if w.ctx.Err() != nil || !strings.HasPrefix(path, jobsPath) {
+		return status, out, h
+	}
+	w.Checked(func(c *Checker) {
+		switch {
+		case method == "POST" && rest == "":
+			c.Posted(bodyOf(body), status, time.Now())
+			c.Replied(bodyOf(body), status, out, asked, time.Now())
+		case method == "POST" && cancel:
+			c.CancelAnswered(wire.JobID(id), status, out, asked, time.Now())
+		case method == "GET" && !cancel:
+			var s wire.JobState
+			got := status
+			if got == 200 && wire.Decode(out, &s) != nil {
+				got = 0
+			}
+			c.Answered(wire.JobID(id), got, s.Status, asked, time.Now())
+		}
+	})
+	return status, out, h
+}
+
+const jobsPath = "/v1/jobs"
+
+// bodyOf a request as it is sent.
+func bodyOf(v any) []byte {
+	if raw, plain := v.([]byte); plain {
+		return raw
+	}
+	return wire.Encode(v)
+}
+
+// AskAll asks every node that is up about every job that a user knows to be
+// accepted, as users may at any later time.
+func (w *World) AskAll() {
+	var ids []wire.JobID
+	up := make([]bool, len(w.nodes))
+	w.mu.Lock()
+	for id, j := range w.check.jobs {
+		if j.accepted {
+			ids = append(ids, id)
+		}
+	}
+	for i, n := range w.nodes {
+		up[i] = n.up
+	}
+	w.mu.Unlock()
+	slices.Sort(ids)
+	var all sync.WaitGroup
+	for i := range w.nodes {
+		if !up[i] {
+			continue
+		}
+		all.Go(func() {
+			for _, id := range ids {
+				if status, _, _ := w.Ask(i, "GET", jobsPath+"/"+string(id), nil); status == 0 {
+					return // it does not answer, and each question takes 2 s
+				}
+			}
+		})
+	}
+	all.Wait()
 }
 
 // Operate makes one request as an operator to the i-th node.
@@ -73,13 +153,6 @@
 			if w.ctx.Err() != nil {
 				return
 			}
-			w.mu.Lock()
-			if status == 200 || status == 201 {
-				w.check.Accepted(id, time.Now())
-			} else {
-				w.check.Refused(id, status, time.Now())
-			}
-			w.mu.Unlock()
 			if status == 200 || status == 201 {
 				break
 			}
@@ -96,12 +169,10 @@
 		for w.ctx.Err() == nil {
 			sleep(w.ctx, 5*time.Second)
 			if cancel > 0 && !cancelled && time.Since(begin) > cancel {
-				w.Checked(func(c *Checker) { c.CancelAsked(id) })
 				status, raw, _ := w.Ask(next(), "POST", "/v1/jobs/"+string(id)+"/cancel", nil)
 				var b wire.JobBrief
 				if status == 200 && wire.Decode(raw, &b) == nil {
 					cancelled = true
-					w.Checked(func(c *Checker) { c.Told(id, b.Status, time.Now()) })
 				}
 			}
 			status, raw, _ := w.Ask(next(), "GET", "/v1/jobs/"+string(id), nil)
@@ -109,10 +180,9 @@
 				return
 			}
 			var s wire.JobState
-			if status == 200 && wire.Decode(raw, &s) != nil {
-				status = 0
+			if status != 200 || wire.Decode(raw, &s) != nil {
+				continue
 			}
-			w.Checked(func(c *Checker) { c.Polled(id, status, s.Status, time.Now()) })
 			if s.Status.Final() && time.Since(begin) > cancel+20*time.Second {
 				return
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -315,6 +315,9 @@
 	if x.phase != wire.Pulling {
 		m.w.check.Left(t, m.id, c == wire.CauseDone)
 	}
+	if c == wire.CauseError {
+		m.w.check.Failed(t, m.id)
+	}
 	x.phase, x.cause = wire.Exited, c
 	m.changed()
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -60,11 +60,14 @@
 	loseRent    int
 	listLag     time.Duration
 	bootFactor  float64
+	unrest      int       // troubles that are on and that nothing else shows
+	shaken      time.Time // when there last was a trouble
 }
 
 type node struct {
 	cfg    config.Config
 	cancel context.CancelFunc
+	up     bool // the world's lock guards it
 }
 
 type snapshot struct {
@@ -147,12 +150,13 @@
 			w.capacity[offer(f.Name, z, true)] = 3
 		}
 	}
+	w.check.Flavors, w.shaken = w.flavors, time.Now()
 	w.serve(StateAddr, w.State)
 	w.serve(CloudAddr, http.HandlerFunc(w.cloud))
 	w.spawn(func() {
 		for ctx.Err() == nil {
 			w.mu.Lock()
-			w.check.Tick(time.Now())
+			w.watch(time.Now())
 			w.mu.Unlock()
 			sleep(ctx, time.Second)
 		}
@@ -212,6 +216,7 @@
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	n.cancel = cancel
+	w.power(n, true)
 	w.spawn(func() { run(ctx) }) //nolint:errcheck // it is killed
 	return nil
 }
@@ -225,9 +230,17 @@
 	w.Net.Reset(NodeIP(i))
 	n.cancel()
 	n.cancel = nil
+	w.power(n, false)
 	w.Net.Reset(NodeIP(i))
 }
 
+// power notes that a node begins or ends, which is a trouble to others.
+func (w *World) power(n *node, up bool) {
+	w.mu.Lock()
+	n.up, w.shaken = up, time.Now()
+	w.mu.Unlock()
+}
+
 // Leader is the index of the node that holds the office by the state
 // service's word, or -1.
 func (w *World) Leader() int {
@@ -548,6 +561,7 @@
 	ids = ids[:min(n, len(ids))]
 	for _, id := range ids {
 		w.remove(id)
+		w.shaken = time.Now()
 	}
 	return len(ids)
 }
@@ -581,6 +595,7 @@
 			sleep(w.ctx, left)
 			w.mu.Lock()
 			w.remove(id)
+			w.shaken = time.Now()
 			w.mu.Unlock()
 		})
 	}
@@ -592,6 +607,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if m := w.machines[id]; m != nil {
+		w.shaken = time.Now()
 		m.lose()
 		m.life++
 		m.shift, m.tally, m.baton = 1, 0, 0
@@ -611,7 +627,9 @@
 	}
 	rep := m.sent
 	for _, d := range after {
+		w.unsettle(true)
 		w.spawn(func() {
+			defer w.Unrest(false)
 			sleep(w.ctx, d)
 			for i := range w.nodes {
 				w.Ask(i, "POST", "/hello", rep)
--- a/world_test.go
+++ b/world_test.go
@@ -83,8 +83,12 @@
 			}
 		}
 		script(w, func(d time.Duration) { time.Sleep(time.Until(begin.Add(d))) })
+		w.AskAll()
 		w.Checked(func(c *standin.Checker) {
 			c.End(time.Now())
+			if late, slow := c.LateStarts(), c.LateDone(); late+slow > 0 {
+				t.Logf("%d starts after a confirmed cancellation, %d polls not told done in time", late, slow)
+			}
 			for _, b := range c.Breaks {
 				t.Errorf("%6.1f s %s: %s", b.At.Sub(begin).Seconds(), b.Rule, b.What)
 			}
