--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -153,14 +153,6 @@
 	w.check.Flavors, w.shaken = w.flavors, time.Now()
 	w.serve(StateAddr, w.State)
 	w.serve(CloudAddr, http.HandlerFunc(w.cloud))
-	w.spawn(func() {
-		for ctx.Err() == nil {
-			w.mu.Lock()
-			w.watch(time.Now())
-			w.mu.Unlock()
-			sleep(ctx, time.Second)
-		}
-	})
 	w.nodes = make([]*node, set.Size)
 	for i := range w.nodes {
 		c := config.Config{HostName: wire.NodeID(fmt.Sprintf("worker-%d", i)), Zone: set.Zones[i%len(set.Zones)],
@@ -172,6 +164,14 @@
 		}
 		w.nodes[i] = &node{cfg: c}
 	}
+	w.spawn(func() {
+		for ctx.Err() == nil {
+			w.mu.Lock()
+			w.watch(time.Now())
+			w.mu.Unlock()
+			sleep(ctx, time.Second)
+		}
+	})
 	return w
 }
 
