--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -171,6 +171,12 @@
 			c.Refused("req-2", 422, t0)
 		}},
 		"left waiting": {LeftWaiting, func(c *Checker) { survey(c, 100) }},
+		"left waiting, its results lost": {LeftWaiting, func(c *Checker) {
+			for i := range 4 {
+				c.Left(task(i), "n-9", true)
+			}
+			survey(c, 100)
+		}},
 		"left waiting after a trouble": {LeftWaiting, func(c *Checker) {
 			survey(c, 80)
 			c.Quiet(time.Time{}, false)
--- a/internal/standin/waiting.go
+++ b/internal/standin/waiting.go
@@ -80,7 +80,10 @@
 		j.waits.held = len(mine)
 		limit, u := c.Limits[s.Owner], used[s.Owner]
 		full := limit.CPUs > 0 && u.CPUs+s.CPUs > limit.CPUs+wire.Eps || limit.Cards > 0 && u.Cards+s.Cards > limit.Cards+wire.Eps
-		if !calm || !j.accepted || j.cancelReq || j.told != "" || taken >= s.Parts || moved || full {
+		// What completed may have been lost on its way, with its machine: then it
+		// waits to be started again.
+		all := taken >= s.Parts && len(mine) > 0
+		if !calm || !j.accepted || j.cancelReq || j.told != "" || all || moved || full {
 			j.waits.end()
 			continue
 		}
@@ -252,6 +255,15 @@
 	w.shaken = time.Now()
 }
 
+// SellOut makes the cloud refuse every further machine, whatever is returned.
+func (w *World) SellOut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for of := range w.capacity {
+		w.capacity[of] = -1000
+	}
+}
+
 // watch feeds the checker with what there is now; call with the lock held.
 func (w *World) watch(now time.Time) {
 	if w.troubled(now) {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -481,7 +481,7 @@
 	if !known {
 		of := offer(b.Kit, b.Site, b.Standby)
 		n := min(b.Count, w.capacity[of])
-		if n == 0 {
+		if n <= 0 {
 			wire.Answer(rw, http.StatusServiceUnavailable, wire.Reason{Error: "no capacity"})
 			return
 		}
