Placement: room kept for services is given to what waits too long

Cause: with the cloud sold out, the only room free was the spare room, which choose() never gives to an array: it waited beside it without end, since neither its age nor its turn (starves) lets it pass spoils(). Ruled out: the limit of the team (16 of 40 processors at most), zone and type (the array allows all), the fleet (every booking is refused). One unit of a job that has started nothing for 60 s may now use it, and takes any other room first.

--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -107,6 +107,7 @@
 		c.next++
 		c.plans++
 		c.hold(a)
+		j.moved = now
 		if i := slices.IndexFunc(m.claims, func(c claim) bool { return c.Job == j.spec.ID }); i >= 0 {
 			m.claims = slices.Delete(m.claims, i, i+1)
 		}
@@ -139,6 +140,10 @@
 	return out
 }
 
+// lingerMost is how long a job may start nothing because the room that is free is
+// kept for the next replicas. (With the cloud sold out it waited for ever.)
+const lingerMost = time.Minute
+
 // starvingWeight lies above that of every array and below that of services.
 const starvingWeight = 100
 
@@ -316,7 +321,8 @@
 	kept := js[:0]
 	for _, j := range js {
 		pj := placement.Job{Spec: &j.spec, Pending: j.pending(), ZoneHeld: map[wire.Zone]int{},
-			WaitedS: now.Sub(j.at).Seconds(), Avoid: j.failedOn, Guaranteed: sure[j.spec.ID], Claims: claims[j.spec.ID], PatienceS: t.patience(j, now), Weight: t.weight(j, sure[j.spec.ID], now)}
+			WaitedS: now.Sub(j.at).Seconds(), Avoid: j.failedOn, Guaranteed: sure[j.spec.ID], Claims: claims[j.spec.ID], PatienceS: t.patience(j, now), Weight: t.weight(j, sure[j.spec.ID], now),
+			Lingers: now.Sub(later(later(j.at, j.moved), t.born)) > lingerMost}
 		if t.starves(j, now) {
 			pj.Pending, pj.Weight = 1, starvingWeight
 		}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -441,6 +441,7 @@
 	fails     int
 	notBefore time.Time
 	started   bool
+	moved     time.Time // when a task of it was started last, in this term
 	runs      runStats
 	from      int // no task of an earlier chunk is pending
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -143,6 +143,9 @@
 	Avoid map[wire.MachineID]bool
 	// Guaranteed: fits into its team's guarantee with the earlier jobs.
 	Guaranteed bool
+	// Lingers: has waited so long without a start that its next unit may use
+	// room kept for services.
+	Lingers bool
 	// Claims is for how many of its units room is being made.
 	Claims int
 	// PatienceS is how long a unit may wait for tasks to end by themselves,
@@ -297,6 +300,7 @@
 		m.Free = m.Free.Minus(take)
 		s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
 		j.ZoneHeld[m.Zone]++
+		j.Lingers = false
 		queue[top].left--
 		j.Pending--
 		if j.Spec.Service() {
@@ -351,7 +355,8 @@
 		if !take.Fits(m.Free) || !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) {
 			continue
 		}
-		if !j.Spec.Service() && spoils(p.s, m, take) || m.claimed(j, take) {
+		kept := !j.Spec.Service() && spoils(p.s, m, take)
+		if kept && !j.Lingers || m.claimed(j, take) {
 			continue
 		}
 		class := without
@@ -359,7 +364,7 @@
 			class = withImage
 		}
 		score := fit(j, m, take)
-		if m.Cordoned && !j.Spec.Service() || j.Avoid[m.ID] {
+		if m.Cordoned && !j.Spec.Service() || j.Avoid[m.ID] || kept {
 			score -= 100 // the last choice, whatever images it has
 		}
 		if best < 0 || score-bestScore > 50 || score-bestScore > -50 && (class < bestClass || class == bestClass && score > bestScore) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -241,6 +241,31 @@
 	}
 }
 
+// One unit of an array that waits too long may use that room, and takes any other
+// first. (With the cloud sold out it waited beside it for ever.)
+func TestSpareRoomForWhatLingers(t *testing.T) {
+	starts := func(other bool) (out []wire.MachineID) {
+		s := &Snapshot{
+			Teams: map[wire.TeamID]*Team{"t": {}}, Factors: Factors{1, 0.5, 60}, Spare: 2, SpareTakes: Res{1, 0, 4},
+			Machines: []Machine{{ID: "m", Zone: "a", Free: Res{1, 0, 4}, Total: Res{4, 0, 16}}, {ID: "n", Zone: "b", Free: Res{1, 0, 4}, Total: Res{4, 0, 16}}},
+			Jobs:     []Job{{Spec: &wire.Spec{Owner: "t", Shape: wire.Sweep, Parts: 9, CPUs: 1, RAM: 4, Standby: true}, Pending: 9, ZoneHeld: map[wire.Zone]int{}, Weight: 1, Lingers: true}},
+		}
+		if other {
+			s.Machines = append(s.Machines, Machine{ID: "o", Zone: "a", Spot: true, Free: Res{1, 0, 4}, Total: Res{16, 0, 64}})
+		}
+		for _, st := range Place(s).Starts {
+			out = append(out, s.Machines[st.Machine].ID)
+		}
+		return out
+	}
+	if got := starts(false); len(got) != 1 {
+		t.Errorf("%v beside kept room only", got)
+	}
+	if got := starts(true); len(got) != 1 || got[0] != "o" {
+		t.Errorf("%v beside other room", got)
+	}
+}
+
 // Preemption stops lower priorities only, where the least work is lost, and
 // never for an everyday array. (Two classes of arrays once stopped each
 // other's tasks in turn for minutes.)
