--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -161,7 +161,7 @@
 			}
 			wait := time.Second
 			if s, err := strconv.Atoi(h.Get("Retry-After")); err == nil {
-				wait = max(wait, time.Duration(s)*time.Second)
+				wait = max(wait, min(30, time.Duration(s))*time.Second)
 			}
 			sleep(w.ctx, wait)
 		}
