--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -69,8 +69,8 @@
 	ever  map[wire.Task]bool
 	// lastAnswered is when a user's poll was last answered.
 	lastAnswered time.Time
-	// answered and failed count the polls of all users.
-	answered, failed int
+	// polls of all users.
+	polls tally
 	// calm is since when all troubles are over, by the test's word; zero: not
 	// yet. quiet is the same by what the world sees.
 	calm, quiet time.Time
@@ -95,7 +95,7 @@
 	done      map[int]bool
 	completed time.Time // of the last task
 	unread    time.Time // since when every poll failed
-	others    tally     // polls of other jobs since then
+	others    tally     // all polls until then, and its own since
 	tried     time.Time // of the first attempt to submit
 	at        time.Time // of the acceptance
 	began     time.Time // of the first task
@@ -224,9 +224,9 @@
 	c.clock(now)
 	j := c.jobs[id]
 	if status == 200 || status == 404 {
-		c.answered++
+		c.polls.answered++
 	} else {
-		c.failed++
+		c.polls.failed++
 	}
 	switch {
 	case status == 200 && j == nil:
@@ -247,11 +247,11 @@
 		}
 	case j != nil && j.accepted:
 		if j.unread.IsZero() {
-			j.unread, j.others = asked, tally{c.answered, c.failed - 1}
+			j.unread, j.others = asked, tally{c.polls.answered, c.polls.failed - 1}
 		}
 		j.others.failed++ // its own
 		spell := now.Sub(j.unread)
-		most := c.answered-j.others.answered > c.failed-j.others.failed
+		most := c.polls.answered-j.others.answered > c.polls.failed-j.others.failed
 		others := spell > 90*time.Second && (most || now.Sub(c.lastAnswered) < 10*time.Second)
 		calm := c.settled(now, 75*time.Second) && spell > 75*time.Second
 		if others || calm {
--- a/internal/standin/waiting.go
+++ b/internal/standin/waiting.go
@@ -255,8 +255,8 @@
 	w.shaken = time.Now()
 }
 
-// SellOut makes the cloud refuse every further machine, whatever is returned.
-func (w *World) SellOut() {
+// NoMore makes the cloud refuse every further machine, whatever is returned.
+func (w *World) NoMore() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for of := range w.capacity {
@@ -304,16 +304,16 @@
 			return true
 		}
 	}
-	return w.State.troubled() || w.Net.troubled()
+	return w.State.faulty() || w.Net.faulty()
 }
 
-func (s *State) troubled() bool {
+func (s *State) faulty() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.out || s.loseTxn > 0 || s.dropTxn > 0 || has(s.refused)
 }
 
-func (n *Network) troubled() bool {
+func (n *Network) faulty() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return has(n.held) || has(n.deaf) || has(n.island)
--- a/waiting_test.go
+++ b/waiting_test.go
@@ -15,7 +15,7 @@
 		at(2 * time.Second)
 		w.Submit(s, 0)
 		at(60 * time.Second)
-		w.SellOut()
+		w.NoMore()
 		w.Submit(a, 0)
 		at(220 * time.Second)
 		mustRun(t, w, s, "beside an array")
