--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -477,6 +477,7 @@
 	notBefore time.Time
 	started   bool
 	leftAt    time.Time // when a task of it was last on a machine
+	moved     time.Time // when a task of it was started last, in this term
 	runs      runStats
 	from      int // no task of an earlier chunk is pending
 }
