Stand-ins: reports kept, held up and handed over late, machines that hang or are mute, slow links and commands

Mute machines open no connections, what others open to them works. Packets may take longer on one link, in order.

--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -26,6 +26,8 @@
 	held      map[[2]string]bool // from, to: packets wait
 	deaf      map[string]bool    // hosts that nothing reaches, though they are heard
 	island    map[string]bool    // hosts that reach only each other
+	mute      map[string]bool    // hosts that can open no connection
+	slow      map[[2]string]time.Duration
 	latency   time.Duration
 }
 
@@ -103,7 +105,7 @@
 	defer cancel()
 	for {
 		n.mu.Lock()
-		silent := n.down[from] || n.down[hostOf(to)] || n.deaf[hostOf(to)] || n.held[[2]string{from, hostOf(to)}] || n.held[[2]string{hostOf(to), from}] ||
+		silent := n.down[from] || n.mute[from] || n.down[hostOf(to)] || n.deaf[hostOf(to)] || n.held[[2]string{from, hostOf(to)}] || n.held[[2]string{hostOf(to), from}] ||
 			n.island[from] != n.island[hostOf(to)]
 		l := n.listeners[to]
 		n.mu.Unlock()
@@ -147,6 +149,7 @@
 type packet struct {
 	data []byte
 	fin  bool
+	due  time.Time
 }
 
 func (p *pipe) change() {
@@ -161,18 +164,20 @@
 	p.n.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if blocked || len(p.late) == 0 {
+	if blocked || len(p.late) == 0 || p.late[0].due.After(time.Now()) {
 		return
 	}
-	for _, k := range p.late {
-		p.buf = append(p.buf, k.data...)
-		p.closed = p.closed || k.fin
+	for len(p.late) > 0 && !p.late[0].due.After(time.Now()) {
+		p.buf = append(p.buf, p.late[0].data...)
+		p.closed = p.closed || p.late[0].fin
+		p.late = p.late[1:]
 	}
-	p.late = nil
 	p.change()
 }
 
 func (p *pipe) send(k packet) error {
+	delay := p.n.delay(p.from, p.to)
+	k.due = time.Now().Add(delay)
 	p.mu.Lock()
 	if p.reset {
 		p.mu.Unlock()
@@ -180,7 +185,7 @@
 	}
 	p.late = append(p.late, k)
 	p.mu.Unlock()
-	time.AfterFunc(p.n.latency, p.arrive)
+	time.AfterFunc(delay, p.arrive)
 	return nil
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -88,12 +88,23 @@
 	hc := &http.Client{Transport: w.host(m.ip).Transport(1, 1)}
 	at := 0
 	for m.ctx.Err() == nil {
+		m.awake(m.ctx)
 		w.mu.Lock()
 		rep, life := m.report(), m.life
 		m.sent = rep
+		held := w.reported(m, rep)
 		w.mu.Unlock()
 		sent := time.Now()
-		status, body := m.post(hc, "http://"+NodeIP(at)+":8080/hello", rep)
+		status, body := 0, []byte(nil)
+		if held {
+			sleep(m.ctx, giveUp)
+		} else {
+			status, body = m.post(hc, "http://"+NodeIP(at)+":8080/hello", rep)
+		}
+		sleep(m.ctx, m.lag().Hello)
+		if m.awake(m.ctx); time.Since(sent) > giveUp {
+			status = 0 // it hung meanwhile
+		}
 		again := false
 		switch status {
 		case http.StatusOK:
@@ -132,8 +143,11 @@
 	hc.CloseIdleConnections()
 }
 
+// giveUp is how long a worker waits for the answer to a report.
+const giveUp = 4 * time.Second
+
 func (m *worker) post(hc *http.Client, url string, v any) (int, []byte) {
-	ctx, cancel := context.WithTimeout(m.ctx, 4*time.Second)
+	ctx, cancel := context.WithTimeout(m.ctx, giveUp)
 	defer cancel()
 	status, raw, _, err := netio.Call(ctx, hc, "POST", url, v, wire.MaxBody)
 	if err != nil {
@@ -152,6 +166,7 @@
 	m.see(o.Baton)
 	m.answered = sent
 	m.execute(o.Orders)
+	m.w.isLate(sent, o.Orders, wire.Forget)
 }
 
 func (m *worker) see(b wire.Token) {
@@ -167,16 +182,21 @@
 	for m.ctx.Err() == nil {
 		sleep(m.ctx, 100*time.Millisecond)
 		m.w.mu.Lock()
-		if time.Since(m.answered).Seconds()*m.drift > float64(m.w.Set.Workers.LeaseS) && !m.dead {
-			m.lose()
-			m.shift++
-			m.answered = time.Now()
-			m.changed()
-		}
+		m.outlive()
 		m.w.mu.Unlock()
 	}
 }
 
+// outlive ends the session if the lease has run out; call with the lock held.
+func (m *worker) outlive() {
+	if time.Since(m.answered).Seconds()*m.drift > float64(m.w.Set.Workers.LeaseS) && !m.dead {
+		m.lose()
+		m.shift++
+		m.answered = time.Now()
+		m.changed()
+	}
+}
+
 // lose ends all tasks; call with the lock held.
 func (m *worker) lose() {
 	for t, x := range m.tasks {
@@ -191,6 +211,9 @@
 	if err != nil {
 		return
 	}
+	came, lag := time.Now(), m.lag()
+	sleep(m.ctx, lag.Command)
+	m.awake(m.ctx)
 	m.w.mu.Lock()
 	if m.dead {
 		m.w.mu.Unlock()
@@ -199,18 +222,24 @@
 	status := http.StatusOK
 	if r.URL.Path == "/commands" {
 		var o wire.Orders
+		err := wire.Decode(raw, &o)
+		m.w.isLate(came, o.Orders, wire.Launch, wire.Halt)
 		switch {
-		case wire.Decode(raw, &o) != nil || o.Baton == 0 || o.Shift == 0:
+		case err != nil || o.Baton == 0 || o.Shift == 0:
 			status = http.StatusBadRequest
 		case o.Baton < m.baton || o.Shift != m.shift:
 			status = http.StatusConflict
 		default:
 			m.see(o.Baton)
 			m.execute(o.Orders)
+			if len(o.Orders) > 0 {
+				m.w.isLate(time.Now().Add(-lag.Answer), []wire.Order{{Verb: Answered}}, Answered)
+			}
 		}
 	}
 	rep := m.report()
 	m.w.mu.Unlock()
+	sleep(m.ctx, lag.Answer)
 	wire.Answer(rw, status, rep)
 }
 
@@ -277,7 +306,7 @@
 		fetch = time.Duration(truth.Spec.ImageGB / m.flavor.PullGBPerS * float64(time.Second))
 	}
 	m.w.spawn(func() {
-		sleep(ctx, fetch)
+		m.work(ctx, fetch)
 		m.w.mu.Lock()
 		if ctx.Err() != nil || m.tasks[t] != x {
 			m.w.mu.Unlock()
@@ -291,11 +320,11 @@
 		m.w.mu.Unlock()
 		switch {
 		case sick:
-			sleep(ctx, 500*time.Millisecond)
+			m.work(ctx, 500*time.Millisecond)
 		case truth.Spec.Service():
 			<-ctx.Done()
 		default:
-			sleep(ctx, time.Duration(truth.RunS*float64(time.Second)))
+			m.work(ctx, time.Duration(truth.RunS*float64(time.Second)))
 		}
 		m.w.mu.Lock()
 		defer m.w.mu.Unlock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -52,6 +52,7 @@
 	nodes    []*node
 	servers  []*http.Server
 	wg       sync.WaitGroup
+	odd      odd
 
 	cutZone     wire.Zone
 	parted      [2]wire.Zone // zones that can't reach each other; empty: none
