--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -35,6 +35,7 @@
 	seenAt   time.Time // last message from it
 	tokenAt  time.Time // when it first showed a token of this term
 	answered time.Time // last answer to a report of it
+	muteAt   time.Time // since when it only answers direct commands; zero: it reports
 	shiftAt  time.Time // when its session was first heard of
 	usedAt   time.Time // last time that a task was on it
 	upAt     time.Time // first report in this term
@@ -264,6 +265,11 @@
 		m.tokenAt = now
 	}
 	m.baton = max(m.baton, rep.Baton)
+	if viaHello {
+		m.muteAt = time.Time{}
+	} else if m.muteAt.IsZero() {
+		m.muteAt = now
+	}
 	if rep.WarningS != nil {
 		at := now.Add(rep.WarningS.Duration())
 		if m.notice.IsZero() {
@@ -356,13 +362,15 @@
 	}
 }
 
+// mostOrders keeps an answer, or a command, within the size that workers take.
+const mostOrders = 400
+
 // orders for the answer to a report: whatever has not been shown to have
 // arrived is repeated.
 func (t *term) orders(m *machine, rep *wire.Report, now time.Time) []wire.Order {
 	out := []wire.Order{}
-	const most = 400
 	for task, a := range m.tasks {
-		if len(out) >= most {
+		if len(out) >= mostOrders {
 			return out
 		}
 		if a.halting && !a.planned {
@@ -375,7 +383,7 @@
 	}
 	for i := range rep.Parts {
 		p := &rep.Parts[i]
-		if len(out) >= most {
+		if len(out) >= mostOrders {
 			return out
 		}
 		task, err := wire.ParseTask(p.Part)
@@ -439,7 +447,7 @@
 	var launched []*attempt
 	for task, a := range m.tasks {
 		switch {
-		case a.planned || len(cmd.Orders) >= 400 || blind && !a.job.cancelled:
+		case a.planned || len(cmd.Orders) >= mostOrders || blind && !a.job.cancelled:
 		case a.halting:
 			if now.Sub(a.haltSent) > 1500*time.Millisecond {
 				cmd.Orders = append(cmd.Orders, haltOrder(task, a))
@@ -492,6 +500,7 @@
 	case err != nil && wire.NotSent(err):
 		t.l.Metrics.Command("not sent")
 		m.probes++
+		m.muteAt = time.Time{} // silent, which is looked after otherwise
 		m.hearing.fails++
 		for _, a := range launched {
 			if !a.seen {
@@ -501,6 +510,7 @@
 	default:
 		t.l.Metrics.Command("lost")
 		m.probes++
+		m.muteAt = time.Time{}
 		m.hearing.fails++
 		t.log().Debug("command not answered", "machine", m.id, "orders", len(cmd.Orders), "err", err, "status", status)
 		for _, a := range launched {
--- a/internal/leader/standin.go
+++ b/internal/leader/standin.go
@@ -59,7 +59,7 @@
 	for i := range rep.Parts {
 		p := &rep.Parts[i]
 		task, err := wire.ParseTask(p.Part)
-		if err != nil || p.Phase == wire.Exited {
+		if err != nil || p.Phase == wire.Exited || len(out) >= mostOrders {
 			continue
 		}
 		if _, ok := l.Cancels.At(task.Job); ok {
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -22,12 +22,14 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]bool
-	down      map[string]bool    // hosts without power: silent
-	held      map[[2]string]bool // from, to: packets wait
-	deaf      map[string]bool    // hosts that nothing reaches, though they are heard
-	island    map[string]bool    // hosts that reach only each other
-	filtered  map[[2]string]bool // from, to: connections are refused
-	slow      map[string]time.Duration
+	down      map[string]bool             // hosts without power: silent
+	held      map[[2]string]bool          // from, to: packets wait
+	deaf      map[string]bool             // hosts that nothing reaches, though they are heard
+	island    map[string]bool             // hosts that reach only each other
+	filtered  map[[2]string]bool          // from, to: connections are refused
+	slow      map[string]time.Duration    // hosts to and from which all takes so much longer
+	mute      map[string]bool             // hosts that can open no connection
+	lag       map[[2]string]time.Duration // from, to: so much longer
 	latency   time.Duration
 }
 
@@ -105,7 +107,7 @@
 	defer cancel()
 	for {
 		n.mu.Lock()
-		silent := n.down[from] || n.down[hostOf(to)] || n.deaf[hostOf(to)] || n.held[[2]string{from, hostOf(to)}] || n.held[[2]string{hostOf(to), from}] ||
+		silent := n.down[from] || n.mute[from] || n.down[hostOf(to)] || n.deaf[hostOf(to)] || n.held[[2]string{from, hostOf(to)}] || n.held[[2]string{hostOf(to), from}] ||
 			n.island[from] != n.island[hostOf(to)]
 		l, filtered := n.listeners[to], n.filtered[[2]string{from, hostOf(to)}]
 		n.mu.Unlock()
--- a/internal/standin/strain.go
+++ b/internal/standin/strain.go
@@ -19,7 +19,7 @@
 func (n *Network) takes(from, to string) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.latency + n.slow[from] + n.slow[to]
+	return n.latency + n.slow[from] + n.slow[to] + n.lag[[2]string{from, to}]
 }
 
 // Slow makes the links of all machines, also of those to come, take so much
--- a/internal/standin/waiting.go
+++ b/internal/standin/waiting.go
@@ -316,7 +316,7 @@
 func (n *Network) faulty() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return has(n.held) || has(n.deaf) || has(n.island)
+	return has(n.held) || has(n.deaf) || has(n.island) || has(n.mute) || has(n.filtered)
 }
 
 func has[K comparable](m map[K]bool) bool {
