--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -138,10 +138,16 @@
 	for i := range bins {
 		inZone[bins[i].zone]++
 	}
+	kinds, alike := make([]kind, len(demands)), map[kind]int{} // units that are still to come
+	for i := range demands {
+		kinds[i] = kindOf(&demands[i])
+		alike[kinds[i]] += demands[i].Units
+	}
 	for di := range demands {
 		d := &demands[di]
 		take := placement.Of(d.Spec)
 		left := d.Units
+		alike[kinds[di]] -= left
 		zone := func(z wire.Zone, n int) int {
 			if d.ZoneLeft != nil {
 				n = min(n, d.ZoneLeft[z])
@@ -209,6 +215,10 @@
 				if o.Room <= 0 || n <= 0 || !b.allowed(d.Spec) || d.Spec.ImageGB > 0 && o.PullRate <= 0 {
 					continue
 				}
+				if kinds[di].spreads {
+					// What waits beside it will share the machine and its price.
+					n = min(n+alike[kinds[di]], take.Units(o.Total))
+				}
 				cost := o.Price / float64(n)
 				// Prefer the zone that has fewer machines, so that a zone's
 				// loss takes less with it. That orders the offers only: it once
@@ -253,6 +263,23 @@
 	return plan
 }
 
+// kind of a unit: what takes the same room on the same machines.
+type kind struct {
+	take    placement.Res
+	kits    string
+	site    wire.Zone
+	standby bool
+	spreads bool // an array that may be in any zones
+}
+
+func kindOf(d *Demand) kind {
+	k := kind{take: placement.Of(d.Spec), site: d.Spec.Site, standby: d.Spec.Standby, spreads: !d.Spec.Service() && d.ZoneLeft == nil}
+	for _, t := range d.Spec.Kits {
+		k.kits += string(t) + " "
+	}
+	return k
+}
+
 // waitFor counts the units that room which running tasks will free in time
 // can take, and takes it.
 func waitFor(bins []bin, d *Demand, take placement.Res, left int) int {
