An answer that comes after an archived job's last news brings nothing back either

Cause: as before; the watch may have shown the record's end when the answer to the reading comes, and what is over was no longer remembered then. The answer counts only while the job that it was asked for is there. TestLateNewsOfAnArchivedJob, made stricter, fails without the mend.

--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -287,11 +287,11 @@
 		e, err := t.l.Store.Get(t.ctx, store.Vital, store.JobKey(id))
 		t.post(func() {
 			switch {
+			case t.jobs[id] != j: // the watch told of it meanwhile, and it is archived
 			case err == nil:
 				t.learn(e.Value, e.Stamp)
 			case errors.Is(err, store.ErrMissing):
-				// If the watch told of it meanwhile, it may be archived since.
-				if t.jobs[id] == j && j.stale {
+				if j.stale { // else it is being archived
 					t.end("a live job's record is gone: " + string(id))
 				}
 			case j.stale:
--- a/internal/leader/write_test.go
+++ b/internal/leader/write_test.go
@@ -225,23 +225,38 @@
 			put := wire.Change{Put: store.JobKey("req-1"), Value: wire.Encode(rec), Stamp: st.Put(store.JobKey("req-1"), rec)}
 			drop := wire.Change{Drop: store.JobKey("req-1"), Stamp: put.Stamp + 1}
 			if watchFirst {
-				// Read again after a guard that failed; the watch tells first, and
-				// the answer comes after the end of the job.
-				st.Slow("", 200*time.Millisecond)
+				// It is read again after a guard that failed; the watch tells first,
+				// and the answer comes when the watch has shown its end as well.
+				st.Slow("", time.Second)
 				tm.reread(j)
-				tm.news([]wire.Change{put})
+				time.Sleep(20 * time.Millisecond)
 				st.Slow("", 0)
+				tm.news([]wire.Change{put})
+				for range 8 {
+					tm.flush(time.Now())
+					select {
+					case g := <-tm.inbox:
+						g()
+					case <-time.After(50 * time.Millisecond):
+					}
+				}
+				if len(st.Keys(store.PastKey("req-1"))) != 1 {
+					t.Error("not archived while the answer is under way")
+				}
+				tm.news([]wire.Change{drop})
 			} else {
 				tm.start(j, m, time.Now())
 			}
 			settle()
 			if len(st.Keys(store.PastKey("req-1"))) != 1 || len(tm.jobs) != 0 {
-				t.Fatalf("not archived: %v, %v", tm.jobs, st.Keys(""))
+				t.Errorf("not archived: %v, %v", tm.jobs, st.Keys(""))
 			}
 			tm.reread(j) // as one that was under way
 			settle()
-			tm.news([]wire.Change{put})
-			settle()
+			if !watchFirst {
+				tm.news([]wire.Change{put})
+				settle()
+			}
 			if len(tm.jobs) != 0 || ended(tm) {
 				t.Errorf("watch first %v: jobs %v, term over: %v %s", watchFirst, tm.jobs, ended(tm), tm.why)
 			}
