--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -94,6 +94,7 @@
 	overstay  bool      // noted that it outlives its cancellation
 	done      map[int]bool
 	completed time.Time // of the last task
+	openAt    time.Time // when a user was told last that it goes on nevertheless
 	unread    time.Time // since when every poll failed
 	others    tally     // all polls until then, and its own since
 	tried     time.Time // of the first attempt to submit
@@ -244,6 +245,7 @@
 		c.ToldSince(id, st, asked, now)
 		if !st.Final() && !j.cancelReq && !j.completed.IsZero() && asked.Sub(j.completed) > 3*time.Second {
 			c.lateDone++
+			j.openAt = now
 		}
 	case j != nil && j.accepted:
 		if j.unread.IsZero() {
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -175,7 +175,13 @@
 			for i := range 4 {
 				c.Left(task(i), "n-9", true)
 			}
-			survey(c, 100)
+			c.Tick(t0)
+			for s := range 110 {
+				now := t0.Add(time.Duration(s) * time.Second)
+				c.Polled("req-1", 200, wire.Queued, now)
+				c.Quiet(t0, true)
+				c.Survey([]Room{beside}, now)
+			}
 		}},
 		"left waiting after a trouble": {LeftWaiting, func(c *Checker) {
 			survey(c, 80)
@@ -265,6 +271,12 @@
 				c.Survey([]Room{beside}, after(float64(s)))
 			}
 		},
+		"all of it is done, and nobody asks": func(c *Checker) {
+			for i := range 4 {
+				c.Left(wire.Task{Job: "req-1", Index: i}, "n-9", true)
+			}
+			waiting(beside)(c)
+		},
 		"its user gave up": func(c *Checker) { c.CancelAsked("req-1"); waiting(beside)(c) },
 	}
 	for name, do := range cases {
--- a/internal/standin/waiting.go
+++ b/internal/standin/waiting.go
@@ -80,9 +80,10 @@
 		j.waits.held = len(mine)
 		limit, u := c.Limits[s.Owner], used[s.Owner]
 		full := limit.CPUs > 0 && u.CPUs+s.CPUs > limit.CPUs+wire.Eps || limit.Cards > 0 && u.Cards+s.Cards > limit.Cards+wire.Eps
-		// What completed may have been lost on its way, with its machine: then it
-		// waits to be started again.
-		all := taken >= s.Parts && len(mine) > 0
+		// What completed may have been lost on its way, with its machine: then its
+		// user is told that it goes on, and it waits to be started again.
+		lost := len(mine) == 0 && !j.openAt.IsZero() && now.Sub(j.openAt) < 15*time.Second
+		all := taken >= s.Parts && !lost
 		if !calm || !j.accepted || j.cancelReq || j.told != "" || all || moved || full {
 			j.waits.end()
 			continue
