--- a/internal/standin/looks.go
+++ b/internal/standin/looks.go
@@ -149,7 +149,7 @@
 		atEnd = time.Since(j.news.endedAt) < 50*time.Millisecond
 	}
 	w.mu.Unlock()
-	status, raw, h := w.Ask(i, method, path, body)
+	status, raw, h := w.ask(i, method, path, body)
 	if w.ctx.Err() != nil {
 		return 0, wire.JobState{}
 	}
