--- a/internal/standin/apart.go
+++ b/internal/standin/apart.go
@@ -80,8 +80,8 @@
 	return t.RunS
 }
 
-// Zones counts a job's tasks on machines by zone.
-func (c *Checker) Zones(id wire.JobID) map[wire.Zone]int {
+// InZones counts a job's tasks on machines by zone.
+func (c *Checker) InZones(id wire.JobID) map[wire.Zone]int {
 	n := map[wire.Zone]int{}
 	for t, p := range c.on {
 		if t.Job == id {
@@ -91,8 +91,8 @@
 	return n
 }
 
-// Ended counts the job's tasks that have completed.
-func (c *Checker) Ended(id wire.JobID) int {
+// Completed counts the job's tasks that have completed.
+func (c *Checker) Completed(id wire.JobID) int {
 	if j := c.jobs[id]; j != nil {
 		return len(j.done)
 	}
@@ -120,8 +120,8 @@
 	return out
 }
 
-// Office is the revision of the leader's key, 0 while nobody holds it.
-func (w *World) Office() wire.Revision {
+// LeadStamp is the revision of the leader's key, 0 while nobody holds it.
+func (w *World) LeadStamp() wire.Revision {
 	w.State.mu.Lock()
 	defer w.State.mu.Unlock()
 	if e := w.State.keys["lead"]; e != nil {
--- a/meet_leaders_test.go
+++ b/meet_leaders_test.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// cancels asks a node to cancel a job, again and again until it is confirmed,
+// cancelsAt asks a node to cancel a job, again and again until it is confirmed,
 // and tells when it was.
-func cancels(t *testing.T, w *standin.World, i int, j standin.Truth) time.Time {
+func cancelsAt(t *testing.T, w *standin.World, i int, j standin.Truth) time.Time {
 	t.Helper()
 	id := j.Spec.ID
 	w.Checked(func(c *standin.Checker) { c.CancelAsked(id) })
@@ -182,11 +182,11 @@
 			up(t, w, l)
 		}},
 		{"back at once", [3]time.Duration{4 * time.Millisecond, 0, 3 * time.Second}, func(t *testing.T, w *standin.World, l int, end func()) {
-			old := w.Office()
+			old := w.LeadStamp()
 			w.Kill(l)
 			time.Sleep(200 * time.Millisecond)
 			up(t, w, l)
-			until(t, 10*time.Second, "a new term", func() bool { o := w.Office(); return o > old })
+			until(t, 10*time.Second, "a new term", func() bool { o := w.LeadStamp(); return o > old })
 			end()
 		}},
 		{"refused by the state service", [3]time.Duration{400 * time.Millisecond, 4 * time.Millisecond, 0}, func(t *testing.T, w *standin.World, l int, end func()) {
@@ -205,7 +205,7 @@
 				w.Submit(two, 0)
 				w.Submit(three, 0)
 				ended := func() (n int) {
-					w.Checked(func(c *standin.Checker) { n = c.Ended(two.Spec.ID) + c.Ended(three.Spec.ID) })
+					w.Checked(func(c *standin.Checker) { n = c.Completed(two.Spec.ID) + c.Completed(three.Spec.ID) })
 					return n
 				}
 				// Three of the five ends are met by a change each.
@@ -251,7 +251,7 @@
 				w.Submit(b, 0)
 				time.Sleep(100 * time.Millisecond)
 				l := w.Leader()
-				confirmed := cancels(t, w, (l+1)%3, gone)
+				confirmed := cancelsAt(t, w, (l+1)%3, gone)
 				for i := range 3 {
 					w.Kill(i)
 				}
@@ -274,7 +274,7 @@
 					back = []int{0, 1, 2}
 				}
 				up(t, w, back...)
-				cancels(t, w, back[0], late)
+				cancelsAt(t, w, back[0], late)
 				time.Sleep(10 * time.Second)
 				up(t, w, 0, 1, 2)
 				endOfDay(t, w, 3, s, a, b)
@@ -313,7 +313,7 @@
 				time.Sleep(40 * time.Second)
 				w.Submit(free, 0)
 				time.Sleep(5 * time.Second)
-				cancels(t, w, 0, before)
+				cancelsAt(t, w, 0, before)
 				cut := time.Now()
 				w.CloudOutage(true)
 				w.CutZone(z, true)
@@ -323,11 +323,11 @@
 					}
 				})
 				time.Sleep(3 * time.Second)
-				cancels(t, w, 0, early)
+				cancelsAt(t, w, 0, early)
 				w.Submit(unborn, 0)
 				time.Sleep(15 * time.Second)
-				cancels(t, w, 0, unborn)
-				confirmed := cancels(t, w, 0, late)
+				cancelsAt(t, w, 0, unborn)
+				confirmed := cancelsAt(t, w, 0, late)
 				if time.Since(cut) > w.Set.Workers.LeaseS.Duration() || !confirmed.After(cut) {
 					t.Errorf("cancelled %v after the cut", confirmed.Sub(cut))
 				}
@@ -373,18 +373,18 @@
 				w.State.Refuse(standin.NodeIP(two), false)
 				w.Submit(b, 0)
 				time.Sleep(150 * time.Millisecond)
-				cancels(t, w, two, gone)
+				cancelsAt(t, w, two, gone)
 				w.Kill(one)
 				w.Kill(two)
-				old := w.Office()
+				old := w.LeadStamp()
 				time.Sleep(back)
 				i, k := one, two
 				if !same {
 					i, k = two, one
 				}
 				up(t, w, i)
-				until(t, 8*time.Second, "an election", func() bool { return w.Office() > old })
-				old = w.Office()
+				until(t, 8*time.Second, "an election", func() bool { return w.LeadStamp() > old })
+				old = w.LeadStamp()
 				w.Kill(i) // it has taken the office just now
 				if w.Leader() != i {
 					t.Errorf("node %d leads, not %d", w.Leader(), i)
@@ -392,11 +392,11 @@
 				time.Sleep(back)
 				up(t, w, k)
 				// Cancelled while nobody leads: the grant of the one that ended is not over.
-				cancels(t, w, k, fresh)
-				if back < time.Second && w.Office() != old {
+				cancelsAt(t, w, k, fresh)
+				if back < time.Second && w.LeadStamp() != old {
 					t.Error("cancelled after the election, not in it")
 				}
-				until(t, 8*time.Second, "the last election", func() bool { return w.Office() > old })
+				until(t, 8*time.Second, "the last election", func() bool { return w.LeadStamp() > old })
 				time.Sleep(time.Second)
 				up(t, w, 0, 1, 2)
 				endOfDay(t, w, 3, s, a, b)
@@ -430,7 +430,7 @@
 			l := w.Leader()
 			if n%2 == 0 {
 				w.Kill(l)
-				cancels(t, w, (l+1)%3, gone)
+				cancelsAt(t, w, (l+1)%3, gone)
 				another(t, w, l, 8*time.Second)
 				up(t, w, l)
 				time.Sleep(2 * time.Second)
@@ -444,7 +444,7 @@
 			w.Kill(l)
 			time.Sleep(2 * time.Second)
 			w.State.Outage(false)
-			cancels(t, w, (l+1)%3, gone)
+			cancelsAt(t, w, (l+1)%3, gone)
 			another(t, w, l, 8*time.Second)
 			up(t, w, l)
 			time.Sleep(time.Second)
@@ -500,7 +500,7 @@
 					next := another(t, w, l, 10*time.Second)
 					was := *answered
 					w.Submit(fresh, 0) // by any node; those that can't will refuse
-					if got := cancels(t, w, next, gone); got.Sub(begin) > 8*time.Second {
+					if got := cancelsAt(t, w, next, gone); got.Sub(begin) > 8*time.Second {
 						t.Errorf("cancelled only %v after the cut", got.Sub(begin))
 					}
 					w.Checked(func(c *standin.Checker) {
@@ -509,7 +509,7 @@
 						}
 					})
 					time.Sleep(4 * time.Second)
-					cancels(t, w, next, late)
+					cancelsAt(t, w, next, late)
 					if leads(t, w, l) {
 						t.Errorf("the old leader thinks that it leads %v after the cut", time.Since(begin))
 					}
@@ -591,8 +591,8 @@
 					}
 					time.Sleep(time.Duration(round*40) * time.Millisecond) // accepted, or just being started
 					by := (l + 1 + round%2) % 3
-					cancels(t, w, by, ran[0])
-					cancels(t, w, by, begins[0])
+					cancelsAt(t, w, by, ran[0])
+					cancelsAt(t, w, by, begins[0])
 					if w.Leader() != l {
 						t.Fatal("the leader changed too early")
 					}
@@ -603,15 +603,15 @@
 						time.Sleep(time.Second)
 					}
 					since := time.Now()
-					cancels(t, w, by, ran[1])
-					cancels(t, w, by, begins[1])
+					cancelsAt(t, w, by, ran[1])
+					cancelsAt(t, w, by, begins[1])
 					// The next one may have taken the office meanwhile, but has read nothing yet.
 					if n := w.Leader(); n >= 0 && n != l && !c.vacant || time.Since(since) > 50*time.Millisecond {
 						t.Errorf("elected before the cancellation, which took %v", time.Since(since))
 					}
 					another(t, w, l, 10*time.Second)
-					cancels(t, w, by, ran[2])
-					cancels(t, w, by, begins[2])
+					cancelsAt(t, w, by, ran[2])
+					cancelsAt(t, w, by, begins[2])
 					time.Sleep(5 * time.Second)
 					c.end(t, w, l)
 					time.Sleep(15 * time.Second)
@@ -847,11 +847,11 @@
 				}
 				time.Sleep(cut - 300*time.Millisecond)
 				there := 0
-				w.Checked(func(c *standin.Checker) { there = c.Zones(a.Spec.ID)["b"] })
+				w.Checked(func(c *standin.Checker) { there = c.InZones(a.Spec.ID)["b"] })
 				if there == 0 {
 					t.Error("nothing runs behind the cut")
 				}
-				cancels(t, w, w.Leader(), room) // now there is room to start it elsewhere
+				cancelsAt(t, w, w.Leader(), room) // now there is room to start it elsewhere
 				w.Kill(1)
 				time.Sleep(200 * time.Millisecond)
 				up(t, w, 1)
@@ -899,13 +899,13 @@
 					w.Submit(j, 0)
 				}
 				at(45 * time.Second)
-				l, old := w.Leader(), w.Office()
+				l, old := w.Leader(), w.LeadStamp()
 				w.Kill(l)
-				confirmed := cancels(t, w, (l+1)%3, gone)
+				confirmed := cancelsAt(t, w, (l+1)%3, gone)
 				if c.back {
 					up(t, w, l)
 				}
-				until(t, 10*time.Second, "an election", func() bool { return w.Office() > old })
+				until(t, 10*time.Second, "an election", func() bool { return w.LeadStamp() > old })
 				w.State.Outage(true)
 				if n := w.Leader(); n < 0 || (n == l) != c.back {
 					t.Errorf("node %d leads", n)
@@ -942,20 +942,20 @@
 		w.Submit(s, 0)
 		w.Submit(a, 0)
 		at(45 * time.Second)
-		l, old := w.Leader(), w.Office()
+		l, old := w.Leader(), w.LeadStamp()
 		w.State.LagWatches(300 * time.Millisecond)
 		for n := range 8 {
 			gone := array(10+n, 2, 100)
 			gone.Spec.CPUs, gone.Spec.RAM = 0.1, 0.1
 			w.Submit(gone, 0)
 			time.Sleep(time.Duration(100+40*n) * time.Millisecond)
-			cancels(t, w, (l+1)%3, gone)
+			cancelsAt(t, w, (l+1)%3, gone)
 			time.Sleep(1500 * time.Millisecond)
 			if keys := w.State.Keys("job/" + string(gone.Spec.ID)); len(keys) != 0 {
 				t.Errorf("%s is not closed", gone.Spec.ID)
 			}
 		}
-		if w.Office() != old {
+		if w.LeadStamp() != old {
 			t.Errorf("the office has changed hands: node %d leads, was %d", w.Leader(), l)
 		}
 		w.State.LagWatches(0)
