Machines whose reports reach no controller take nothing new and are returned

Cause: a machine that can open no connection answers direct commands, so it counted as heard and was placed on again and again; its lease ran out each time, as direct commands don't renew it, and arrays longer than a lease never completed there. It now counts as mute after half a lease of direct answers only, and is returned after 1.25 leases, much later when many are mute. Ruled out: a broken proof (nothing ran twice; what its new session lacked was freed rightly), deafness (it executes commands), a quota or room (other machines had room). Not counted while the state service was away, while a node may stand in, or after a command without an answer.

Without it TestMuteMachines fails (some: an array of 60 s is not complete after 190 s).

--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -164,7 +164,7 @@
 	report := t.set.Workers.ReportS.Duration()
 	silentAfter := report*5/4 + 600*time.Millisecond
 	lostAfter := silentAfter + 2*probeTimeout
-	up, silent, lost, relayed, deaf, serving, quietServing := 0, 0, 0, 0, 0, 0, 0
+	up, silent, lost, relayed, deaf, mute, serving, quietServing := 0, 0, 0, 0, 0, 0, 0, 0
 	zoneUp, zoneLost := map[wire.Zone]int{}, map[wire.Zone]int{}
 	for _, m := range t.machines {
 		if m.booting || m.releasing {
@@ -177,6 +177,9 @@
 		if !m.hearing.deaf.IsZero() {
 			deaf++
 		}
+		if t.mute(m, now) {
+			mute++
+		}
 		zoneUp[m.zone]++
 		if t.silence(m, now) > silentAfter {
 			silent++
@@ -242,6 +245,7 @@
 		if deaf <= max(3, up/4) {
 			t.watchHearing(m, now)
 		}
+		t.watchMute(m, now, mute <= max(3, up/4))
 	}
 	if !t.deciding() || !t.recovered {
 		return
@@ -416,6 +420,37 @@
 	}
 }
 
+// muteFor is how long a machine has answered direct commands while no report
+// of it came, neither here nor through another node, nor to one that may stand
+// in.
+func (t *term) muteFor(m *machine, now time.Time) time.Duration {
+	if m.muteAt.IsZero() {
+		return 0
+	}
+	return now.Sub(later(m.muteAt, later(t.backAt, t.stood)))
+}
+
+// mute tells whether a machine looks alive but can't reach any controller: its
+// lease runs out again and again, with all that is started there. It takes
+// nothing new, and its room is not counted on. (Tasks longer than a lease were
+// once started on such machines for ever and never completed.)
+func (t *term) mute(m *machine, now time.Time) bool {
+	return t.muteFor(m, now) > max(t.set.Workers.LeaseS.Duration()/2, 2*report(t))
+}
+
+// watchMute returns a mute machine when its lease must have run out, so that
+// nothing is lost by it, or much later when they are many: then it is rather
+// the way from them, which will be back.
+func (t *term) watchMute(m *machine, now time.Time, few bool) {
+	lease := t.set.Workers.LeaseS.Duration()
+	if m.releasing || !t.recovered || t.muteFor(m, now) <= lease*5/4 {
+		return
+	}
+	if few || t.muteFor(m, now) > max(lease*5/2, t.set.Workers.CancelS.Duration()*2) {
+		t.release(m, "its reports don't arrive")
+	}
+}
+
 // silence is how long a machine has said nothing to this term.
 func (t *term) silence(m *machine, now time.Time) time.Duration {
 	return now.Sub(later(m.seenAt, t.born))
@@ -636,7 +671,7 @@
 		if m.booting && now.Sub(m.rentedAt) > f.ReadyS.Duration()*2 {
 			continue // not to be counted on
 		}
-		if !m.booting && t.silence(m, now) > 3*report(t) || t.behindCut(m, now) {
+		if !m.booting && t.silence(m, now) > 3*report(t) || t.behindCut(m, now) || t.mute(m, now) {
 			continue
 		}
 		for _, a := range m.tasks {
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -34,6 +34,7 @@
 	seenAt   time.Time // last message from it
 	tokenAt  time.Time // when it first showed a token of this term
 	answered time.Time // last answer to a report of it
+	muteAt   time.Time // since when it only answers direct commands; zero: it reports
 	shiftAt  time.Time // when its session was first heard of
 	usedAt   time.Time // last time that a task was on it
 	upAt     time.Time // first report in this term
@@ -255,6 +256,11 @@
 		m.tokenAt = now
 	}
 	m.baton = max(m.baton, rep.Baton)
+	if viaHello {
+		m.muteAt = time.Time{}
+	} else if m.muteAt.IsZero() {
+		m.muteAt = now
+	}
 	if rep.WarningS != nil {
 		at := now.Add(rep.WarningS.Duration())
 		if m.notice.IsZero() {
@@ -481,6 +487,7 @@
 	case err != nil && wire.NotSent(err):
 		t.l.Metrics.Command("not sent")
 		m.probes++
+		m.muteAt = time.Time{} // silent, which is looked after otherwise
 		m.hearing.fails++
 		for _, a := range launched {
 			if !a.seen {
@@ -490,6 +497,7 @@
 	default:
 		t.l.Metrics.Command("lost")
 		m.probes++
+		m.muteAt = time.Time{}
 		m.hearing.fails++
 		t.log().Debug("command not answered", "machine", m.id, "orders", len(cmd.Orders), "err", err, "status", status)
 		for _, a := range launched {
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -343,7 +343,7 @@
 
 // usable tells whether a machine may take a launch now.
 func (t *term) usable(m *machine, now time.Time) bool {
-	return !m.booting && !m.upAt.IsZero() && m.drain == "" && !m.releasing && m.baton >= t.first && m.probes == 0 && m.hearing.deaf.IsZero() && !t.behindCut(m, now) &&
+	return !m.booting && !m.upAt.IsZero() && m.drain == "" && !m.releasing && m.baton >= t.first && m.probes == 0 && m.hearing.deaf.IsZero() && !t.behindCut(m, now) && !t.mute(m, now) &&
 		!now.Before(m.fullUntil) && now.Sub(m.seenAt) < 2*t.set.Workers.ReportS.Duration()+time.Second
 }
 
--- a/meet_reports_test.go
+++ b/meet_reports_test.go
@@ -560,3 +560,65 @@
 		}
 	}
 }
+
+// Workers can open no connection to any controller, while what is sent to them
+// arrives: one machine, some, or most of a zone. They look alive, and their
+// leases run out all the same. What can't live there must be done elsewhere, and
+// what is cancelled there must be gone in time.
+func TestMuteMachines(t *testing.T) {
+	for name, some := range map[string]func(w *standin.World) []wire.MachineID{
+		"one":         func(w *standin.World) []wire.MachineID { return w.Working("")[:1] },
+		"some":        func(w *standin.World) []wire.MachineID { ms := w.Working(""); return ms[:(len(ms)+1)/2] },
+		"most a zone": func(w *standin.World) []wire.MachineID { ms := w.Working("a"); return ms[:(len(ms)*3+3)/4] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			both := playBoth
+			if name == "one" {
+				both = func(t *testing.T, seed uint64, script func(*testing.T, *standin.World, func(time.Duration))) {
+					playOdd(t, seed, func(w *standin.World, at func(time.Duration)) { script(t, w, at) })
+				}
+			}
+			both(t, 640, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				s, a, gone := service(1, 3), array(2, 12, 60), array(3, 4, 300)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(a, 0)
+				w.Submit(gone, 0)
+				at(45 * time.Second)
+				mute := some(w)
+				w.Mute(true, mute...)
+				// Each has outlived a lease without a report, and yet answers.
+				time.Sleep(w.Set.Workers.LeaseS.Duration() + time.Second)
+				n := 0
+				for _, id := range mute {
+					if shift, _, _ := w.Life(id); shift > 1 {
+						n++
+					}
+				}
+				if n+countGone(w, mute) != len(mute) || n == 0 {
+					t.Errorf("%d of %d mute machines are there in a new session", n, len(mute))
+				}
+				cancelNow(t, w, gone)
+				time.Sleep(5 * time.Second)
+				cancelledIsGone(t, w, gone, "5 s later, on mute machines")
+				// Where they are many they are kept for a while, and the cloud may
+				// have no more of their cheap type.
+				time.Sleep(170 * time.Second)
+				mustFinish(t, w, a)
+				mustRun(t, w, s, "while machines are mute")
+				w.Mute(false, mute...)
+				time.Sleep(30 * time.Second)
+				mustRun(t, w, s, "afterwards")
+			})
+		})
+	}
+}
+
+func countGone(w *standin.World, ids []wire.MachineID) (n int) {
+	for _, id := range ids {
+		if w.IP(id) == "" {
+			n++
+		}
+	}
+	return n
+}
