A blind leader tells machines to stop what is cancelled

Cause: with the state service away the leader answered reports without any orders, and so kept the leases of machines that had not yet heard of a cancellation (they hung just then) for up to B = 60 s: the tasks outlived cancel_s. A cancelled job stays cancelled whoever leads, and a halt names its attempt, so these orders are safe without the office. Ruled out: a late launch (the tasks had run before), machines that are deaf (their leases end), the release (needs the office). Direct commands still need the office.

Without it TestCancelledJustBeforeAnOutage fails (hang, usual layout).

--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -124,10 +124,26 @@
 	m.hearing.told, m.hearing.shift, m.hearing.tally = t.token, h.rep.Shift, h.rep.Tally
 	if t.deciding() {
 		o.Orders = t.orders(m, &h.rep, now)
+	} else {
+		o.Orders = t.finalHalts(m)
 	}
 	h.reply <- reply{orders: o}
 }
 
+// finalHalts are the orders that may be given while the office is not surely
+// held: a job that is cancelled stays cancelled, whoever leads. (Machines that
+// hung when a job was cancelled, and went on in an outage, were once answered
+// for as long as it lasted and not told.)
+func (t *term) finalHalts(m *machine) []wire.Order {
+	out := []wire.Order{}
+	for task, a := range m.tasks {
+		if a.halting && !a.planned && a.job.cancelled && len(out) < mostOrders {
+			out = append(out, haltOrder(task, a))
+		}
+	}
+	return out
+}
+
 // crossing is how long after a message of a worker an older report of it may
 // still be waiting for its answer: workers give up after 4 s.
 const crossing = 4 * time.Second
@@ -353,13 +369,15 @@
 	}
 }
 
+// mostOrders keeps an answer, or a command, within the size that workers take.
+const mostOrders = 400
+
 // orders for the answer to a report: whatever has not been shown to have
 // arrived is repeated.
 func (t *term) orders(m *machine, rep *wire.Report, now time.Time) []wire.Order {
 	out := []wire.Order{}
-	const most = 400
 	for task, a := range m.tasks {
-		if len(out) >= most {
+		if len(out) >= mostOrders {
 			return out
 		}
 		if a.halting && !a.planned {
@@ -372,7 +390,7 @@
 	}
 	for i := range rep.Parts {
 		p := &rep.Parts[i]
-		if len(out) >= most {
+		if len(out) >= mostOrders {
 			return out
 		}
 		task, err := wire.ParseTask(p.Part)
@@ -434,7 +452,7 @@
 	var launched []*attempt
 	for task, a := range m.tasks {
 		switch {
-		case a.planned || len(cmd.Orders) >= 400:
+		case a.planned || len(cmd.Orders) >= mostOrders:
 		case a.halting:
 			if now.Sub(a.haltSent) > 1500*time.Millisecond {
 				cmd.Orders = append(cmd.Orders, haltOrder(task, a))
--- a/meet_reports_test.go
+++ b/meet_reports_test.go
@@ -622,3 +622,44 @@
 	}
 	return n
 }
+
+// A job is cancelled, and before its tasks are halted the state service goes
+// away for longer than the time for cancellations, while a majority of the nodes
+// goes on answering reports: the machines hang or are deaf just then. The tasks must
+// be gone in time all the same.
+func TestCancelledJustBeforeAnOutage(t *testing.T) {
+	for _, how := range []string{"hang", "deaf"} {
+		t.Run(how, func(t *testing.T) {
+			playBoth(t, 670, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				s, gone, a := service(1, 3), array(2, 6, 300), array(3, 6, 20)
+				at(2 * time.Second)
+				w.Submit(s, 0)
+				w.Submit(gone, 0)
+				at(45 * time.Second)
+				ms := w.Working("")
+				switch how {
+				case "hang":
+					w.Hang(true, ms...)
+				case "deaf":
+					w.Deafen(true, ms...)
+				}
+				cancelNow(t, w, gone)
+				time.Sleep(300 * time.Millisecond)
+				w.State.Outage(true)
+				time.Sleep(4 * time.Second)
+				if on(w, gone) == 0 {
+					t.Error("no cancelled task runs when the state service is away")
+				}
+				w.Hang(false, ms...)
+				w.Deafen(false, ms...)
+				time.Sleep(w.Set.Workers.CancelS.Duration() + 5*time.Second)
+				cancelledIsGone(t, w, gone, "although their time is up")
+				w.State.Outage(false)
+				w.Submit(a, 0)
+				time.Sleep(80 * time.Second)
+				mustFinish(t, w, a)
+				mustRun(t, w, s, "at the end")
+			})
+		})
+	}
+}
