A leader that has not read what is stored answers reports for a bounded time

A job cancelled just before its term, when the last leader was already cut off, is unknown to it: the tasks outlived cancel_s. It now stops where standing in would have to stop, counted from its beginning, less the time in which the last leader may have been cut off. Ruled out: the nodes that stand in (they are bounded, and know no word of this term), the old leader (its grant had ended).

Without it TestCancelledJustBeforeAnOutage fails (not recovered, both layouts).

--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -11,6 +11,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"lilaclead/internal/netio"
+	"lilaclead/internal/peer"
 	"lilaclead/internal/placement"
 	"lilaclead/internal/wire"
 )
@@ -88,6 +89,10 @@
 		return
 	}
 	if !t.recovered {
+		if now.Sub(t.born) > t.unreadFor() {
+			h.reply <- reply{refused: "can't tell which jobs are cancelled"}
+			return
+		}
 		if e, ok := t.early[h.rep.Host]; !ok || h.rep.Newer(e.Shift, e.Tally) {
 			t.early[h.rep.Host] = h.rep
 		}
@@ -130,6 +135,19 @@
 	h.reply <- reply{orders: o}
 }
 
+// unreadFor is how long from its beginning a term may answer reports before it
+// has read what is stored: it may be that a job was cancelled just before, when
+// the last leader was already cut off, and with the lease that the last answer
+// gives its tasks must be gone in time. (An outage in the middle of a recovery
+// once kept them for as long as it lasted.) Where cancellations leave no time for
+// standing in, it is as long as a blind leader may answer anyway.
+func (t *term) unreadFor() time.Duration {
+	if t.l.standFor == 0 {
+		return peer.B
+	}
+	return max(2*time.Second, t.l.standFor-2*grantLife)
+}
+
 // finalHalts are the orders that may be given while the office is not surely
 // held: a job that is cancelled stays cancelled, whoever leads. (Machines that
 // hung when a job was cancelled, and went on in an outage, were once answered
--- a/meet_reports_test.go
+++ b/meet_reports_test.go
@@ -625,10 +625,10 @@
 
 // A job is cancelled, and before its tasks are halted the state service goes
 // away for longer than the time for cancellations, while a majority of the nodes
-// goes on answering reports: the machines hang or are deaf just then. The tasks must
-// be gone in time all the same.
+// goes on answering reports: the machines hang just then, or the next leader has
+// not yet read what is stored. The tasks must be gone in time all the same.
 func TestCancelledJustBeforeAnOutage(t *testing.T) {
-	for _, how := range []string{"hang", "deaf"} {
+	for _, how := range []string{"hang", "deaf", "not recovered"} {
 		t.Run(how, func(t *testing.T) {
 			playBoth(t, 670, func(t *testing.T, w *standin.World, at func(time.Duration)) {
 				s, gone, a := service(1, 3), array(2, 6, 300), array(3, 6, 20)
@@ -637,15 +637,35 @@
 				w.Submit(gone, 0)
 				at(45 * time.Second)
 				ms := w.Working("")
+				l, old := w.Office()
 				switch how {
 				case "hang":
 					w.Hang(true, ms...)
 				case "deaf":
 					w.Deafen(true, ms...)
+				default:
+					// It hears of no change any more, and goes on answering
+					// reports until its grant ends.
+					w.State.Refuse(standin.NodeIP(l), true)
+					time.Sleep(2 * time.Second)
 				}
 				cancelNow(t, w, gone)
-				time.Sleep(300 * time.Millisecond)
-				w.State.Outage(true)
+				if how == "not recovered" {
+					for i := range w.Set.Size {
+						w.Net.Slow("10.2.0.1", standin.NodeIP(i), 300*time.Millisecond)
+					}
+					n, _ := nextLeader(t, w, old)
+					w.State.Refuse(standin.NodeIP(l), false)
+					time.Sleep(320 * time.Millisecond)
+					w.State.Outage(true)
+					time.Sleep(time.Second)
+					if hasRecovered(w, n) {
+						t.Error("the new leader has read what is stored")
+					}
+				} else {
+					time.Sleep(300 * time.Millisecond)
+					w.State.Outage(true)
+				}
 				time.Sleep(4 * time.Second)
 				if on(w, gone) == 0 {
 					t.Error("no cancelled task runs when the state service is away")
@@ -654,6 +674,9 @@
 				w.Deafen(false, ms...)
 				time.Sleep(w.Set.Workers.CancelS.Duration() + 5*time.Second)
 				cancelledIsGone(t, w, gone, "although their time is up")
+				for i := range w.Set.Size {
+					w.Net.Slow("10.2.0.1", standin.NodeIP(i), 0)
+				}
 				w.State.Outage(false)
 				w.Submit(a, 0)
 				time.Sleep(80 * time.Second)
