Test that fails: a job is cancelled while the state service refuses the leader, just before an outage

Cause: the leader's watch delivers nothing while it is refused, and in the outage that follows it goes on answering for up to B with a majority's word, not knowing of the cancellation. Not mended here: it needs the nodes that confirmed it, or that the state service served later than the leader, to say so in their acknowledgements.

--- a/meet_reports_test.go
+++ b/meet_reports_test.go
@@ -686,3 +686,29 @@
 		})
 	}
 }
+
+// The state service refuses the leader, which so does not hear that a job is
+// cancelled, and then goes away for all, for longer than the time for
+// cancellations. The leader can't tell the one from the other, and must not
+// answer for the cancelled tasks' machines for as long as that lasts.
+func TestCancelledWhileTheLeaderIsRefused(t *testing.T) {
+	playBoth(t, 680, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		gone := array(1, 6, 300)
+		at(2 * time.Second)
+		w.Submit(gone, 0)
+		at(45 * time.Second)
+		l, old := w.Office()
+		w.State.Refuse(standin.NodeIP(l), true)
+		time.Sleep(300 * time.Millisecond)
+		cancelNow(t, w, gone)
+		w.State.Outage(true)
+		w.State.Refuse(standin.NodeIP(l), false)
+		if n, token := w.Office(); n != l || token != old || on(w, gone) != 6 {
+			t.Errorf("leader %d, was %d; %d of 6 tasks run", n, l, on(w, gone))
+		}
+		time.Sleep(w.Set.Workers.CancelS.Duration() + 5*time.Second)
+		cancelledIsGone(t, w, gone, "although their time is up")
+		w.State.Outage(false)
+		time.Sleep(30 * time.Second)
+	})
+}
