--- a/internal/standin/odd.go
+++ b/internal/standin/odd.go
@@ -179,7 +179,7 @@
 // Holder is who holds the office by the state service's word, -1 if nobody, and
 // the revision of its key.
 func (w *World) Holder() (int, wire.Token) {
-	i, at := w.Leader(), w.Office()
+	i, at := w.Leader(), w.LeadStamp()
 	if i < 0 || at == 0 {
 		return -1, 0
 	}
--- a/internal/standin/strain.go
+++ b/internal/standin/strain.go
@@ -196,7 +196,7 @@
 		if !j.accepted || j.cancelReq || j.told != "" || n == 0 || l.CPUs > 0 && w.check.Uses(s.Owner)+s.CPUs > l.CPUs+wire.Eps {
 			continue
 		}
-		zones := w.check.Zones(id)
+		zones := w.check.InZones(id)
 		for _, m := range w.machines {
 			cpus, ram := m.room()
 			elsewhere := len(zones) > 1 || len(zones) == 1 && zones[m.zone] == 0
--- a/meet_limits_test.go
+++ b/meet_limits_test.go
@@ -270,7 +270,7 @@
 					at(50 * time.Second)
 					w.Checked(func(c *standin.Checker) {
 						for _, j := range []standin.Truth{same, sameS, boundS, spread} {
-							if z := c.Zones(j.Spec.ID); z["a"] == 0 || len(z) != 1 {
+							if z := c.InZones(j.Spec.ID); z["a"] == 0 || len(z) != 1 {
 								t.Errorf("%s runs in %v before the fault", j.Spec.ID, z)
 							}
 						}
@@ -290,10 +290,10 @@
 					at(190 * time.Second)
 					if c.moves {
 						w.Checked(func(c *standin.Checker) {
-							if z := c.Zones(sameS.Spec.ID); len(z) != 1 || z["a"] > 0 {
+							if z := c.InZones(sameS.Spec.ID); len(z) != 1 || z["a"] > 0 {
 								t.Errorf("the service in one place runs in %v while that is lost", z)
 							}
-							if z := c.Zones(same.Spec.ID); z["a"] > 0 || len(z) == 0 && !c.Complete(same.Spec.ID) {
+							if z := c.InZones(same.Spec.ID); z["a"] > 0 || len(z) == 0 && !c.Complete(same.Spec.ID) {
 								t.Errorf("the array in one place runs in %v while that is lost", z)
 							}
 						})
