--- a/meet_limits_test.go
+++ b/meet_limits_test.go
@@ -286,7 +286,7 @@
 						w.Checked(func(c *standin.Checker) {
 							n := 0
 							for _, j := range []standin.Truth{same, sameS, spread, bound, boundS} {
-								n += c.Zones(j.Spec.ID)["a"]
+								n += c.InZones(j.Spec.ID)["a"]
 							}
 							if n == 0 {
 								t.Error("nothing runs in the zone that is lost")
