--- a/meet_reports_test.go
+++ b/meet_reports_test.go
@@ -636,9 +636,11 @@
 				case "deaf":
 					w.Deafen(true, ms...)
 				default:
-					// It hears of no change any more, and goes on answering
-					// reports until its grant ends.
+					// It reads of no change any more, and goes on answering reports
+					// until its grant ends. What the others tell it of it can't
+					// halt: the machines hang as well.
 					w.State.Refuse(standin.NodeIP(l), true)
+					w.Hang(true, ms...)
 					time.Sleep(2 * time.Second)
 				}
 				mustCancel(t, w, gone)
