--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -36,6 +36,7 @@
 	valueKB int
 	limits  limits
 	lag     time.Duration // of the answers to open watches
+	cut     wire.Revision // the newest change that is no longer kept
 }
 
 type entry struct {
@@ -366,6 +367,7 @@
 			s.changes = append(s.changes, change{s.rev, wire.Change{Put: x.Put, Value: append(wire.Raw(nil), x.Value...), Stamp: s.rev}})
 		}
 		if keep := s.limits.kept(); len(s.changes) > keep {
+			s.cut = s.changes[len(s.changes)-keep-1].rev
 			s.changes = append([]change(nil), s.changes[len(s.changes)-keep:]...)
 		}
 		s.late.ran(from)
@@ -385,7 +387,7 @@
 		s.expire()
 		res := wire.Changes{Ledger: s.rev, News: []wire.Change{}}
 		silent := s.out || s.refused[hostOf(r.RemoteAddr)]
-		if len(s.changes) > 0 && len(s.changes) >= s.limits.kept() && s.changes[0].rev > wire.Revision(after)+1 {
+		if s.cut > wire.Revision(after) {
 			s.mu.Unlock()
 			wire.Answer(w, http.StatusGone, wire.Reason{Error: "too old"})
 			return
--- a/internal/store/copy_test.go
+++ b/internal/store/copy_test.go
@@ -131,3 +131,34 @@
 		nw.Close()
 	})
 }
+
+// The stand-in keeps the changes of a revision whole: where one of them is no
+// longer kept, the copy must be told to list. (It once was given the rest, and
+// took a job that had ended for a live one.)
+func TestCopyFromShortBooks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		nw, st := standin.NewNetwork(time.Millisecond), standin.NewState(12, 16)
+		srv := serve(t, nw, st)
+		c := store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
+		y := store.NewCopy(c, cancels.New(nil, time.Minute), 1000, 1)
+		go y.Run(ctx)
+		st.Short(2, 0)
+		st.Put(store.JobKey("req-1"), store.JobRecord{Spec: wire.Spec{ID: "req-1"}, Status: wire.Queued})
+		if got, err := y.Get(ctx, "req-1"); err != nil || got.Status != wire.Queued {
+			t.Errorf("%v %v", got, err)
+		}
+		if _, err := c.Commit(ctx, store.Vital, wire.Txn{Writes: []wire.Write{{Drop: store.JobKey("req-1")},
+			{Put: store.PastKey("req-1"), Value: wire.Encode(store.PastRecord{Status: wire.Done})}, {Drop: store.ChunkKey("req-1", 0)}}}); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := y.Get(ctx, "req-1"); !errors.Is(err, store.ErrMissing) {
+			t.Errorf("%v %v", got, err)
+		}
+		cancel()
+		nw.Close()
+		srv.Close()
+		time.Sleep(5 * time.Second)
+		nw.Close()
+	})
+}
