--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,6 +76,11 @@
 	ReportS wire.Seconds `toml:"report_s"`
 	LeaseS  wire.Seconds `toml:"lease_s"`
 	CancelS wire.Seconds `toml:"cancel_s"`
+	// GangWaitS is how long a gang's task waits for the others, GangPeerS how
+	// soon the others notice that one is gone, and in which all must be told to
+	// stop. Older files lack them.
+	GangWaitS wire.Seconds `toml:"gang_wait_s"`
+	GangPeerS wire.Seconds `toml:"gang_peer_s"`
 }
 
 // State holds the limits of the state service.
@@ -84,6 +89,34 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next are the limits that the service will have from some moment on,
+	// without notice; what is not named stays.
+	Next *NextState `toml:"next"`
+}
+
+// NextState are limits to come; 0: as before.
+type NextState struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Least are the limits that hold whether the next ones are in force already or
+// not yet: what is written within them is taken either way.
+func (s State) Least() State {
+	if n := s.Next; n != nil {
+		least := func(now, next float64) float64 {
+			if next > 0 {
+				return min(now, next)
+			}
+			return now
+		}
+		s.RPS, s.WriteRPS, s.ValueKB = least(s.RPS, n.RPS), least(s.WriteRPS, n.WriteRPS), least(s.ValueKB, n.ValueKB)
+		s.TxnOps = int(least(float64(s.TxnOps), float64(n.TxnOps)))
+	}
+	s.Next = nil
+	return s
 }
 
 // Cloud holds the limits of the cloud.
@@ -195,6 +228,26 @@
 	if s.Workers.LeaseS > 0 && !(s.Workers.LeaseS > s.Workers.ReportS) {
 		bad("settings.workers.lease_s", "must be longer than report_s: leases would end between two reports")
 	}
+	if !(s.Workers.GangWaitS >= 0) {
+		bad("settings.workers.gang_wait_s", "must be 0 or more")
+	}
+	if !(s.Workers.GangPeerS >= 0) {
+		bad("settings.workers.gang_peer_s", "must be 0 or more")
+	}
+	if n := s.State.Next; n != nil {
+		if !(n.RPS >= 0) {
+			bad("settings.state.next.rps", "must be 0 or more")
+		}
+		if !(n.WriteRPS >= 0) {
+			bad("settings.state.next.write_rps", "must be 0 or more")
+		}
+		if !(n.ValueKB >= 0) || n.ValueKB > 0 && n.ValueKB < 0.5 {
+			bad("settings.state.next.value_kb", "must be 0.5 or more, to hold one job")
+		}
+		if n.TxnOps < 0 || n.TxnOps == 1 {
+			bad("settings.state.next.txn_ops", "must be 2 or more: a job's record is replaced by its final one")
+		}
+	}
 	positive("settings.state.rps", s.State.RPS)
 	positive("settings.state.write_rps", s.State.WriteRPS)
 	positive("settings.state.value_kb", s.State.ValueKB)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,8 @@
 	ZoneLeft map[wire.Zone]int
 	// SlackS is how long the units may wait for room and still be in time.
 	SlackS float64
+	// Whole: all of the units or none, in one zone if the job wants that.
+	Whole bool
 	// Dear stretches the limit on the price; 0 leaves it as it is.
 	Dear float64
 }
@@ -148,6 +150,18 @@
 		take := placement.Of(d.Spec)
 		left := d.Units
 		alike[kinds[di]] -= left
+		if d.Whole {
+			for _, i := range gather(s, d, bins, offers, len(wants)) {
+				wants = append(wants, want{i, d.Spec.ID})
+				o := &offers[i]
+				o.Room--
+				inZone[o.Zone]++
+				b := bin{kit: o.Kit, zone: o.Zone, spot: o.Spot, free: o.Total, used: true}
+				bins = append(bins, b)
+			}
+			fillWhole(d, bins)
+			continue
+		}
 		zone := func(z wire.Zone, n int) int {
 			if d.ZoneLeft != nil {
 				n = min(n, d.ZoneLeft[z])
@@ -280,6 +294,139 @@
 	return k
 }
 
+// oneZone lists the zones that a whole demand may be packed into, "" for all
+// together.
+func oneZone(d *Demand, bins []bin, offers []Offer) []wire.Zone {
+	if !d.Spec.SamePlace {
+		return []wire.Zone{""}
+	}
+	var out []wire.Zone
+	add := func(z wire.Zone) {
+		if !slices.Contains(out, z) && (d.ZoneLeft == nil || d.ZoneLeft[z] >= d.Units) && (d.Spec.Site == "" || d.Spec.Site == z) {
+			out = append(out, z)
+		}
+	}
+	for i := range bins {
+		add(bins[i].zone)
+	}
+	for i := range offers {
+		add(offers[i].Zone)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// soonFree is the room in a bin that is free, or will be in time.
+func (b *bin) soonFree(slack float64) placement.Res {
+	free := b.free
+	for _, f := range b.soon {
+		if f.InS <= slack {
+			free = free.Plus(f.Room)
+		}
+	}
+	return free
+}
+
+// zoneRoom is how many more units a zone may take of a whole demand.
+func (d *Demand) zoneRoom(z wire.Zone, used map[wire.Zone]int) int {
+	if d.ZoneLeft == nil {
+		return d.Units
+	}
+	return d.ZoneLeft[z] - used[z]
+}
+
+// missing is how many units of a whole demand find no room in a zone ("": in any)
+// within the demand's slack.
+func missing(d *Demand, bins []bin, z wire.Zone, used map[wire.Zone]int) int {
+	take, left := placement.Of(d.Spec), d.Units
+	for i := range bins {
+		b := &bins[i]
+		if left == 0 {
+			break
+		}
+		if z != "" && b.zone != z || !b.allowed(d.Spec) {
+			continue
+		}
+		n := min(left, take.Units(b.soonFree(d.SlackS)), d.zoneRoom(b.zone, used))
+		if n > 0 {
+			left -= n
+			used[b.zone] += n
+		}
+	}
+	return left
+}
+
+// gather finds the offers to rent for a whole demand, one entry a machine, where
+// that costs least; none if there is room, or if not all of it can be had: half
+// of it would help nobody.
+func gather(s *Snapshot, d *Demand, bins []bin, offers []Offer, wants int) []int {
+	take := placement.Of(d.Spec)
+	var best []int
+	bestCost, found := 0.0, false
+	for _, z := range oneZone(d, bins, offers) {
+		used := map[wire.Zone]int{}
+		left, cost := missing(d, bins, z, used), 0.0
+		var rents []int
+		taken := map[int]int{}
+		for left > 0 {
+			pick, pickCost := -1, 0.0
+			for i := range offers {
+				o := &offers[i]
+				b := bin{kit: o.Kit, zone: o.Zone, spot: o.Spot}
+				n := min(left, take.Units(o.Total), d.zoneRoom(o.Zone, used))
+				if z != "" && o.Zone != z || o.Room-taken[i] <= 0 || n <= 0 || !b.allowed(d.Spec) || d.Spec.ImageGB > 0 && o.PullRate <= 0 {
+					continue
+				}
+				if c := o.Price / float64(n); pick < 0 || c < pickCost {
+					pick, pickCost = i, c
+				}
+			}
+			if pick < 0 || s.Cheapest != nil && pickCost > s.DearLimit*max(1, d.Dear)*s.Cheapest(d.Spec) || wants+len(rents) >= s.MaxRents {
+				break
+			}
+			o := &offers[pick]
+			n := min(left, take.Units(o.Total), d.zoneRoom(o.Zone, used))
+			taken[pick]++
+			rents = append(rents, pick)
+			used[o.Zone] += n
+			left -= n
+			cost += o.Price
+		}
+		if left == 0 && (!found || cost < bestCost) {
+			best, bestCost, found = rents, cost, true
+		}
+	}
+	return best
+}
+
+// fillWhole takes the room of a whole demand, where all of it is found.
+func fillWhole(d *Demand, bins []bin) {
+	take := placement.Of(d.Spec)
+	for _, z := range oneZone(d, bins, nil) {
+		if missing(d, bins, z, map[wire.Zone]int{}) > 0 {
+			continue
+		}
+		left, used := d.Units, map[wire.Zone]int{}
+		for i := range bins {
+			b := &bins[i]
+			if left == 0 {
+				return
+			}
+			if z != "" && b.zone != z || !b.allowed(d.Spec) {
+				continue
+			}
+			n := min(left, take.Units(b.soonFree(d.SlackS)), d.zoneRoom(b.zone, used))
+			if n <= 0 {
+				continue
+			}
+			b.free, b.used = b.free.Minus(take.Times(float64(n))), true
+			left -= n
+			used[b.zone] += n
+		}
+		return
+	}
+}
+
 // waitFor counts the units that room which running tasks will free in time
 // can take, and takes it.
 func waitFor(bins []bin, d *Demand, take placement.Res, left int) int {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,7 +41,7 @@
 // state service, which takes milliseconds.
 func New(set *config.Settings, st *store.Client, ledger *cancels.Ledger, flavors func() []wire.Flavor, log *slog.Logger) *Intake {
 	return &Intake{
-		set: set, store: st, live: store.NewCopy(st, ledger, set.State.RPS, set.Size), ledger: ledger, flavors: flavors, log: log,
+		set: set, store: st, live: store.NewCopy(st, ledger, set.State.Least().RPS, set.Size), ledger: ledger, flavors: flavors, log: log,
 		counts:  newCounts(set),
 		stage:   make(chan struct{}, max(8, min(48, set.Limits.FDLimit/20))),
 		Observe: func(string, int, time.Duration) {},
@@ -102,13 +102,7 @@
 		return c
 	}
 	c = count{at: time.Now()}
-	for _, e := range entries {
-		var rec store.ChunkRecord
-		if wire.Decode(e.Value, &rec) == nil {
-			c.done += store.Count(rec.Done)
-			c.running += len(rec.Held)
-		}
-	}
+	c.done, c.running = store.CountAll(entries)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.of) >= finalsMost {
@@ -239,7 +233,7 @@
 		in.log.Info("refuses a job that can never run", "job", spec.ID, "why", why)
 		return answer{status: http.StatusUnprocessableEntity, body: wire.Reason{Error: why}}
 	}
-	rec := store.JobRecord{Spec: spec, Status: wire.Queued, At: wire.StampOf(time.Now()), Chunk: store.ChunkFor(in.set.State.ValueKB)}
+	rec := store.JobRecord{Spec: spec, Status: wire.Queued, At: wire.StampOf(time.Now()), Chunk: store.ChunkFor(in.set.State.Least().ValueKB)}
 	err = in.commit(ctx, wire.Txn{
 		Guards: []wire.Guard{{Key: store.JobKey(spec.ID), Stamp: 0}, {Key: store.PastKey(spec.ID), Stamp: 0}},
 		Writes: []wire.Write{{Put: store.JobKey(spec.ID), Value: wire.Encode(rec)}},
@@ -270,10 +264,7 @@
 	if !ok {
 		return "unknown team", true
 	}
-	n := 1.0
-	if s.Service() {
-		n = float64(s.Parts)
-	}
+	n := float64(s.Together())
 	if team.CPUsMax > 0 && n*s.CPUs > team.CPUsMax+wire.Eps || team.GPUsMax > 0 && n*s.Cards > team.GPUsMax+wire.Eps {
 		return "needs more than the team's limit", true
 	}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -525,7 +525,7 @@
 		}
 		spec := &a.job.spec
 		if !m.notice.IsZero() && spec.SnapshotEveryS > 0 && !a.halting && m.notice.Sub(now) < spec.SnapshotS.Duration()+3*time.Second {
-			t.halt(a, spec.SnapshotS+1, "saves before its machine is taken")
+			t.halt(a, max(spec.SnapshotS+1, t.windDownOf(a.job)), "saves before its machine is taken")
 		}
 		if !m.notice.IsZero() && spec.Service() && !a.halting {
 			t.halt(a, 0, "its machine is taken")
@@ -816,7 +816,10 @@
 			continue
 		}
 		units := j.pending()
-		if !j.spec.Service() {
+		switch {
+		case j.spec.Gang() && j.held > 0:
+			continue // what is left of its last attempt goes first
+		case !j.spec.Service() && !j.spec.Gang():
 			units = t.parallel(j, now, stretch)
 		}
 		take := placement.Of(&j.spec)
@@ -828,15 +831,19 @@
 		if team.GPUsMax > 0 {
 			left.Cards = team.GPUsMax - used[j.spec.Owner].Cards
 		}
-		units = min(units, take.Units(left))
-		if units <= 0 {
+		if most := take.Units(left); j.spec.Gang() && most < units {
+			continue
+		} else if units = min(units, most); units <= 0 {
 			continue
 		}
 		used[j.spec.Owner] = used[j.spec.Owner].Plus(take.Times(float64(units)))
-		d := fleet.Demand{Spec: &j.spec, Units: units, Rank: float64(j.spec.Urgency.Rank()), SlackS: t.slack(j, now) * stretch}
+		d := fleet.Demand{Spec: &j.spec, Units: units, Whole: j.spec.Gang(), Rank: float64(j.spec.Urgency.Rank()), SlackS: t.slack(j, now) * stretch}
 		switch {
 		case j.spec.Service():
 			d.Rank += 10
+		case j.spec.Gang() && t.starves(j, now):
+			d.Rank += 5
+			d.Dear = math.Inf(1)
 		case t.starves(j, now):
 			// Room is had for its first task at any price.
 			first := d
@@ -844,7 +851,7 @@
 			out = append(out, first)
 			d.Units--
 		}
-		d.Dear = t.dearer(j, waits[j], now)
+		d.Dear = max(d.Dear, t.dearer(j, waits[j], now))
 		if j.spec.Apart || j.spec.SamePlace {
 			d.ZoneLeft = map[wire.Zone]int{}
 			held := j.zones()
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -298,6 +298,8 @@
 			continue
 		}
 		switch {
+		case t.launchAgain(a):
+			a.inherited, a.sent, a.lost, a.helloTally = false, false, false, 0
 		case a.seen, a.inherited, rep.Shift > a.sentShift && a.sent:
 			t.log().Info("task is gone from its machine", "task", task, "try", a.try, "machine", m.id, "shift", rep.Shift)
 			t.l.Metrics.Moved("gone")
@@ -320,7 +322,7 @@
 	}
 	a.seen = true
 	if p.Phase != wire.Pulling && p.Cause != wire.CauseFull && p.Cause != wire.CauseBusy && p.Cause != wire.CauseNoSuch &&
-		!(p.Phase == wire.Exited && a.phase == wire.Pulling && p.Cause == wire.CauseStopped) {
+		!(p.Phase == wire.Exited && a.phase == wire.Pulling && (p.Cause == wire.CauseStopped || p.Cause == wire.CauseMatesGone || p.Cause == wire.CauseAlone)) {
 		m.images.touch(j.spec.Bundle, j.spec.ImageGB, t.localGB(m.kit), now)
 		if a.ready.IsZero() {
 			a.ready = now
@@ -334,20 +336,27 @@
 		}
 	}
 	a.phase = p.Phase
+	if j.gang != nil && (p.Phase == wire.Active || p.Phase == wire.Saving || p.Cause == wire.CauseMatesGone) {
+		j.gang.ran = true
+	}
 	if p.Phase != wire.Exited {
 		return
 	}
 	switch p.Cause {
 	case wire.CauseDone:
-		if !a.runAt.IsZero() {
+		if !a.runAt.IsZero() && !j.spec.Gang() { // a gang goes at its slowest machine's speed
 			t.timed(a, now)
 		}
 		j.succeeded, j.fails = true, 0
 		clear(j.failedOn)
 		clear(m.errs)
 		m.errCount = 0
+		if j.spec.Gang() {
+			t.gangDone(j)
+			break
+		}
 		t.drop(a, taskDone)
-	case wire.CauseStopped:
+	case wire.CauseStopped, wire.CauseMatesGone, wire.CauseAlone:
 		t.drop(a, taskPending)
 	case wire.CauseError:
 		t.failed(a, now)
@@ -376,7 +385,7 @@
 		if a.halting && !a.planned {
 			out = append(out, haltOrder(task, a))
 			a.haltSent = now
-		} else if !a.planned && !a.seen && !a.directBusy && m.drain == "" && !a.job.cancelled && !a.inherited && m.hearing.deaf.IsZero() {
+		} else if !a.planned && !a.seen && !a.directBusy && m.drain == "" && !a.job.cancelled && !a.inherited && m.hearing.deaf.IsZero() && a.mayLaunch() {
 			out = append(out, wire.Order{Verb: wire.Launch, Part: task.String(), Try: a.try})
 			a.sent, a.sentShift, a.helloShift, a.helloTally = true, rep.Shift, rep.Shift, rep.Tally
 		}
@@ -453,7 +462,7 @@
 				cmd.Orders = append(cmd.Orders, haltOrder(task, a))
 				a.haltSent = now
 			}
-		case !blind && !a.sent && !a.inherited && !a.seen && m.drain == "" && !a.job.cancelled:
+		case !blind && a.mayLaunch() && !a.sent && !a.inherited && !a.seen && m.drain == "" && !a.job.cancelled:
 			cmd.Orders = append(cmd.Orders, wire.Order{Verb: wire.Launch, Part: task.String(), Try: a.try})
 			a.sent, a.sentShift, a.directBusy = true, m.shift, true
 			launched = append(launched, a)
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -24,17 +24,29 @@
 	}
 	s, ms, js := t.snapshot(waiting, now)
 	res := placement.Place(s)
+	gangs := map[*job][]*machine{}
 	for _, st := range res.Starts {
-		t.start(js[st.Job], ms[st.Machine], now)
+		if j := js[st.Job]; j.spec.Gang() {
+			gangs[j] = append(gangs[j], ms[st.Machine])
+		} else {
+			t.start(j, ms[st.Machine], now)
+		}
+	}
+	for j, ms := range gangs {
+		t.startGang(j, ms, now)
 	}
 	for _, c := range res.Clears {
 		m := t.machines[c.On]
-		m.claims = append(m.claims, claim{c.Claim, c.Awaits, now.Add(t.haltBy(0))})
+		until := now.Add(t.haltBy(0))
+		if j := t.jobs[c.Job]; j != nil && j.spec.Gang() {
+			until = until.Add(wire.Seconds(t.patience(j, now)).Duration()) // for as long as the others' room takes
+		}
+		m.claims = append(m.claims, claim{c.Claim, c.Awaits, until})
 		t.claimed[m] = struct{}{}
 	}
 	for _, v := range res.Halts {
 		if a := t.attempt(v.Task); a != nil {
-			t.halt(a, windDownOf(a.job), "makes room")
+			t.halt(a, t.windDownOf(a.job), "makes room")
 			for i := range a.m.claims { // it may take that long to save
 				c := &a.m.claims[i]
 				c.until = later(c.until, now.Add(t.haltBy(a.windDown)))
@@ -97,15 +109,23 @@
 }
 
 func (t *term) canPlace(j *job, now time.Time) bool {
-	return !j.cancelled && !j.over && !j.archiving && !j.stale && j.pending() > 0 && !now.Before(j.notBefore)
+	return !j.cancelled && !j.over && !j.archiving && !j.stale && j.pending() > 0 && !now.Before(j.notBefore) &&
+		(j.held == 0 || !j.spec.Gang()) // a gang only when nothing of its last attempt is left
 }
 
 // start decides on one task of the job.
-func (t *term) start(j *job, m *machine, now time.Time) {
+func (t *term) start(j *job, m *machine, now time.Time) { t.startWith(j, m, 0, now) }
+
+// startWith starts a task with an attempt's number, 0: the next one.
+func (t *term) startWith(j *job, m *machine, try wire.Attempt, now time.Time) {
 	j.eachPending(1, func(c *chunk, i int) {
-		a := &attempt{job: j, chunk: c, index: i, try: c.next, m: m, at: now, planned: true}
-		c.next++
+		a := &attempt{job: j, chunk: c, index: i, try: try, m: m, at: now, planned: true}
+		if try == 0 {
+			a.try = c.next
+			c.next++
+		}
 		c.plans++
+		j.plans++
 		c.hold(a)
 		j.moved = now
 		if i := slices.IndexFunc(m.claims, func(c claim) bool { return c.Job == j.spec.ID }); i >= 0 {
@@ -179,9 +199,17 @@
 	if j.spec.Service() {
 		return 0
 	}
+	if j.spec.Gang() && !placement.MayPreempt(&j.spec) {
+		return min(gatherMost, patienceMost+now.Sub(j.at).Seconds()/2)
+	}
 	return max(0, min(patienceMost, t.slack(j, now)/8, patienceMost+1-now.Sub(j.at).Seconds()))
 }
 
+// gatherMost is how long room may be kept for a gang until all of it is free. A
+// gang that does not preempt would otherwise wait for ever beside arrays that take
+// each task's room as it becomes free.
+const gatherMost = 45.0
+
 // left is in how many seconds a task is expected to end by itself. Until some of
 // its job's tasks are done there is only its owner's word, which is often short.
 func (a *attempt) left(now time.Time) float64 {
@@ -294,6 +322,9 @@
 					lost = min(lost, float64(a.job.spec.SnapshotS))
 				}
 			}
+			if a.job.spec.Gang() { // it costs all of the gang
+				lost = (lost + 5) * float64(a.job.spec.Parts)
+			}
 			pm.Victims = append(pm.Victims, placement.Victim{Task: a.task(), Rank: a.job.spec.Urgency.Rank(), Takes: a.res(),
 				Lost: lost, LeftS: a.left(now), Beyond: beyond(a.job), Team: a.job.spec.Owner})
 		}
@@ -324,9 +355,12 @@
 			WaitedS: now.Sub(j.at).Seconds(), Avoid: j.failedOn, Guaranteed: sure[j.spec.ID], Claims: claims[j.spec.ID], PatienceS: t.patience(j, now), Weight: t.weight(j, sure[j.spec.ID], now),
 			Lingers: now.Sub(later(later(j.at, j.moved), t.born)) > lingerMost}
 		if t.starves(j, now) {
-			pj.Pending, pj.Weight = 1, starvingWeight
+			pj.Weight = starvingWeight
+			if !j.spec.Gang() {
+				pj.Pending = 1
+			}
 		}
-		if j.fails > 0 {
+		if j.fails > 0 && !j.spec.Gang() {
 			pj.Pending = min(pj.Pending, max(1, 2-j.held)) // try a suspect job with little
 		}
 		if j.spec.Apart || j.spec.SamePlace {
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -74,9 +74,11 @@
 
 	dirty      map[*chunk]struct{} // differ from what is stored
 	closing    map[*job]struct{}   // can be archived
+	lacking    map[*job]struct{}   // gangs of which a task was lost, not yet looked after
 	chasing    map[*job]struct{}   // cancelled, with attempts that may be on machines
 	noted      uint64              // what of the ledger of cancellations has been taken in
 	writing    bool
+	lowered    bool // the state service has refused what the former limits allowed
 	retryAt    time.Time
 	bookAt     time.Time // when bookkeeping may be written again
 	raiseAt    time.Time
@@ -98,7 +100,7 @@
 		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{}, past: map[wire.JobID]bool{},
 		machines: map[wire.MachineID]*machine{}, gone: map[wire.MachineID]time.Time{},
 		cutAt: map[wire.Zone]time.Time{}, heard: map[wire.Zone]heard{}, dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
-		claimed: map[*machine]struct{}{}, chasing: map[*job]struct{}{},
+		claimed: map[*machine]struct{}{}, chasing: map[*job]struct{}{}, lacking: map[*job]struct{}{},
 	}
 	t.until.Store(int64(o.until.Sub(o.at)))
 	t.fleet.init()
@@ -168,6 +170,7 @@
 	if !t.recovered || !t.deciding() {
 		return
 	}
+	t.mendGangs()
 	v := t.l.Tuning.Get()
 	if t.placing && (t.roundWant && now.After(t.roundAfter) || now.Sub(t.lastRound) >= wire.Seconds(v.RoundS).Duration()) {
 		t.round(now)
@@ -352,33 +355,9 @@
 	for _, e := range jobs {
 		t.learn(e.Value, e.Stamp)
 	}
-	for _, e := range runs {
-		id, n, ok := store.ParseChunkKey(e.Key)
-		j := t.jobs[id]
-		var rec store.ChunkRecord
-		if !ok || j == nil || n >= len(j.chunks) || wire.Decode(e.Value, &rec) != nil {
-			// Left over from a job that was archived in several steps.
-			t.fleet.orphans = append(t.fleet.orphans, wire.Guard{Key: e.Key, Stamp: e.Stamp})
-			continue
-		}
-		c := j.chunk(n)
-		c.stamp, c.next = e.Stamp, rec.Next
-		done := make([]bool, len(c.state))
-		store.Unpack(rec.Done, done)
-		for i, d := range done {
-			if d {
-				c.state[i] = taskDone
-				j.done++
-			}
-		}
-		for _, h := range rec.Held {
-			if h.Task < 0 || h.Task >= len(c.state) || c.state[h.Task] != taskPending {
-				continue
-			}
-			m := t.machine(h.On)
-			a := &attempt{job: j, chunk: c, index: h.Task, try: h.Try, m: m, inherited: true, at: t.born}
-			c.hold(a)
-		}
+	t.readRuns(runs)
+	for _, j := range t.jobs {
+		t.readGang(j)
 	}
 	t.recovered = true
 	t.log().Info("recovered", "jobs", len(t.jobs), "machines", len(t.machines), "took", time.Since(t.born))
@@ -435,7 +414,7 @@
 	t.log().Info("cancels", "job", j.spec.ID, "held", j.held)
 	t.chasing[j] = struct{}{}
 	for _, a := range j.attempts() {
-		t.halt(a, 0, "cancelled")
+		t.haltOne(a, 0, "cancelled")
 	}
 	t.checkOver(j)
 }
@@ -468,8 +447,14 @@
 	dropped   bool // the watch has shown that its record is gone
 	chunks    []*chunk
 	per       int // tasks of a chunk
-	done      int
-	held      int
+	// pieces is how many chunks each one that was stored was split into, 0: none
+	// was, and bases the stamps of those that were.
+	pieces int
+	bases  []wire.Revision
+	gang   *gang // its attempt that may be on machines; nil: none
+	plans  int   // attempts held that are not yet stored
+	done   int
+	held   int
 	// Faults: machines on which a task of it failed in a row.
 	failedOn  map[wire.MachineID]bool
 	succeeded bool
@@ -583,6 +568,9 @@
 		done[i] = s == taskDone
 	}
 	rec := store.ChunkRecord{Next: c.next, Done: store.Ranges(done), Held: []store.Held{}}
+	if c.job.pieces > 0 {
+		rec.Size = c.job.per
+	}
 	for i, a := range c.holds {
 		rec.Held = append(rec.Held, store.Held{Task: i, Try: a.try, On: a.m.id})
 	}
@@ -658,6 +646,7 @@
 	if a.planned {
 		a.planned = false
 		c.plans--
+		a.job.plans--
 	}
 	if a.m.tasks[a.task()] == a {
 		delete(a.m.tasks, a.task())
@@ -672,6 +661,9 @@
 	}
 	t.mark(c)
 	a.job.held--
+	if state == taskPending && a.job.spec.Gang() {
+		t.lacking[a.job] = struct{}{}
+	}
 	if state == taskDone {
 		a.job.done++
 	}
@@ -681,8 +673,16 @@
 	t.wantRound()
 }
 
-// halt wants the attempt stopped.
+// halt wants the attempt stopped, and with a gang's task all of the gang.
 func (t *term) halt(a *attempt, windDown wire.Seconds, why string) {
+	if a.job.gang != nil {
+		t.haltGang(a.job, windDown, why)
+		return
+	}
+	t.haltOne(a, windDown, why)
+}
+
+func (t *term) haltOne(a *attempt, windDown wire.Seconds, why string) {
 	if a.planned {
 		if !a.chunk.busy {
 			t.drop(a, taskPending)
--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -43,15 +43,15 @@
 		return
 	}
 	b := &batch{txn: wire.Txn{Guards: []wire.Guard{{Key: store.LeadKey, Stamp: wire.Revision(t.token)}}}}
-	ops, size := t.set.State.TxnOps, 0
+	ops, size := t.set.State.Least().TxnOps, 0
 	guards := 4 * ops
 	full := func(n, bytes int) bool {
 		return len(b.txn.Writes)+n > ops || len(b.txn.Guards)+2*n > guards || size+bytes > maxTxnBytes
 	}
 	put := func(c *chunk, rec *store.ChunkRecord) {
 		size += rec.JSONSize()
-		b.txn.Guards = append(b.txn.Guards, wire.Guard{Key: store.ChunkKey(c.job.spec.ID, c.n), Stamp: c.stamp})
-		b.txn.Writes = append(b.txn.Writes, wire.Write{Put: store.ChunkKey(c.job.spec.ID, c.n), Value: wire.Encode(rec)})
+		b.txn.Guards = append(b.txn.Guards, wire.Guard{Key: c.key(), Stamp: c.stamp})
+		b.txn.Writes = append(b.txn.Writes, wire.Write{Put: c.key(), Value: wire.Encode(rec)})
 		b.chunks = append(b.chunks, c)
 	}
 	urgent := false
@@ -74,9 +74,13 @@
 	slices.SortFunc(launches, func(a, b *chunk) int {
 		return cmp.Or(b.job.spec.Urgency.Rank()-a.job.spec.Urgency.Rank(), a.job.at.Compare(b.job.at), a.n-b.n)
 	})
+	most := t.valueMost()
 	for _, c := range launches {
 		rec := c.record()
-		for rec.JSONSize() > int(t.set.State.ValueKB*1024) && t.unplan(c, now) {
+		if c.split() || rec.JSONSize() > most && t.splitChunks(c.job, b) {
+			continue
+		}
+		for rec.JSONSize() > most && t.unplan(c, now) {
 			rec = c.record()
 		}
 		if full(1, rec.JSONSize()) {
@@ -107,9 +111,10 @@
 		}
 		for _, c := range book[:n] {
 			rec := c.record()
-			if !full(1, rec.JSONSize()) {
-				put(c, &rec)
+			if c.split() || rec.JSONSize() > most && t.splitChunks(c.job, b) || full(1, rec.JSONSize()) {
+				continue
 			}
+			put(c, &rec)
 		}
 		t.bookAt = now.Add(bookEvery)
 	}
@@ -175,11 +180,7 @@
 		wire.Guard{Key: store.JobKey(id), Stamp: j.stamp}, wire.Guard{Key: store.PastKey(id), Stamp: 0})
 	b.txn.Writes = append(b.txn.Writes, wire.Write{Drop: store.JobKey(id)},
 		wire.Write{Put: store.PastKey(id), Value: wire.Encode(store.PastRecord{Status: status, Done: j.done})})
-	for _, c := range j.chunks {
-		if c == nil || c.stamp == 0 {
-			continue
-		}
-		g := wire.Guard{Key: store.ChunkKey(id, c.n), Stamp: c.stamp}
+	for _, g := range j.stored() {
 		if full(1, 0) {
 			b.later = append(b.later, g)
 			continue
@@ -209,8 +210,8 @@
 			}
 		}
 		for _, c := range b.chunks {
-			if conflict.Has(store.ChunkKey(c.job.spec.ID, c.n)) {
-				t.end("a chunk was written by another hand: " + store.ChunkKey(c.job.spec.ID, c.n))
+			if conflict.Has(c.key()) {
+				t.end("a chunk was written by another hand: " + c.key())
 			}
 		}
 	case errors.Is(err, store.ErrUnknown):
@@ -219,6 +220,17 @@
 		t.log().Info("outcome of a write unknown", "writes", len(b.txn.Writes))
 		t.writing = true
 		t.raise(b)
+	case errors.Is(err, store.ErrInvalid):
+		// The limits to come are in force, without notice. What was accepted
+		// under the former ones is from now on written in pieces.
+		t.undo(b)
+		if t.lowered {
+			t.log().Error("a transaction is refused as invalid", "writes", len(b.txn.Writes), "guards", len(b.txn.Guards))
+			t.retryAt = time.Now().Add(time.Second)
+		} else {
+			t.log().Info("the state service takes less than it did")
+			t.lowered = true
+		}
 	default:
 		t.undo(b)
 		t.retryAt = time.Now().Add(150 * time.Millisecond)
@@ -253,12 +265,18 @@
 		}
 		a.planned = false
 		a.chunk.plans--
+		a.job.plans--
 		if a.halting || a.job.cancelled || a.m.drain != "" || a.m.releasing || t.machines[a.m.id] != a.m {
 			// Never sent by anyone: it needs no chase.
 			t.drop(a, taskPending)
 			continue
 		}
 		touched[a.m] = true
+		if a.job.gang != nil && a.job.complete() {
+			for _, other := range a.job.attempts() {
+				touched[other.m] = true
+			}
+		}
 	}
 	for m := range touched {
 		t.dispatch(m)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -249,6 +249,16 @@
 	}
 }
 
+// Whole is the utility tree of a gang: the better of the preferred branch and of
+// the fallback, each an n Choose k leaf of its full count. It reads zero until all
+// of it fits.
+func Whole(f Factors, n int) utility.Expr {
+	return utility.Max{
+		utility.Scale{By: f.Preferred, Of: utility.Choose{From: utility.SetOf(withImage), K: n, U: float64(n)}},
+		utility.Scale{By: f.Fallback, Of: utility.Choose{From: utility.SetOf(withImage, without), K: n, U: float64(n)}},
+	}
+}
+
 // Place runs one round.
 func Place(s *Snapshot) Result {
 	var res Result
@@ -266,8 +276,16 @@
 		if j.Pending == 0 || s.Teams[j.Spec.Owner] == nil {
 			continue
 		}
-		queue = append(queue, waiting{i, j.Pending})
 		raise := j.Weight * (1 + j.WaitedS/max(1, s.Factors.WaitRaiseS))
+		if n := j.Spec.Parts; j.Spec.Gang() {
+			if j.Pending == n {
+				queue = append(queue, waiting{i, 1}) // all of it, or nothing
+				whole := Whole(s.Factors, n)
+				p.gains[i] = [2]float64{whole.Value(utility.Grant{withImage: n}) * raise / float64(n), whole.Value(utility.Grant{without: n}) * raise / float64(n)}
+			}
+			continue
+		}
+		queue = append(queue, waiting{i, j.Pending})
 		p.gains[i] = [2]float64{unit[withImage] * raise, unit[without] * raise}
 	}
 	// best[i] is the job's best next unit. Gains only fall as room is taken, so
@@ -291,29 +309,32 @@
 		ji, mi := queue[top].job, best[top].machine
 		j := &s.Jobs[ji]
 		take := Of(j.Spec)
+		if j.Spec.Gang() {
+			stale := slices.ContainsFunc(best[top].picks, func(mi int) bool { return changed[mi] >= best[top].step })
+			if mi == unknown || stale || !s.Teams[j.Spec.Owner].room(take.Times(float64(j.Pending))) {
+				best[top] = p.chooseWhole(ji)
+				best[top].step = step
+				continue
+			}
+			for _, mi := range best[top].picks {
+				p.take(j, &s.Machines[mi], take)
+				res.Starts = append(res.Starts, Start{ji, mi})
+				changed[mi] = step
+			}
+			j.Pending = 0
+			queue[top].left = 0
+			continue
+		}
 		if mi == unknown || changed[mi] >= best[top].step || !s.Teams[j.Spec.Owner].room(take) {
 			best[top] = p.choose(ji)
 			best[top].step = step
 			continue
 		}
 		m := &s.Machines[mi]
-		m.Free = m.Free.Minus(take)
-		s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
-		j.ZoneHeld[m.Zone]++
+		p.take(j, m, take)
 		j.Lingers = false
 		queue[top].left--
 		j.Pending--
-		if j.Spec.Service() {
-			m.Services++
-		}
-		if m.Images[j.Spec.Bundle] == Absent {
-			if m.Images == nil {
-				m.Images = map[wire.ImageID]Image{}
-			}
-			m.Images[j.Spec.Bundle] = Fetching
-			m.PullGB += j.Spec.ImageGB
-		}
-		m.used(j.Spec.ID)
 		res.Starts = append(res.Starts, Start{ji, mi})
 		changed[mi] = step
 	}
@@ -323,6 +344,25 @@
 	return res
 }
 
+// take grants one unit on a machine.
+func (p *pass) take(j *Job, m *Machine, take Res) {
+	m.Free = m.Free.Minus(take)
+	team := p.s.Teams[j.Spec.Owner]
+	team.Used = team.Used.Plus(take)
+	j.ZoneHeld[m.Zone]++
+	if j.Spec.Service() {
+		m.Services++
+	}
+	if m.Images[j.Spec.Bundle] == Absent {
+		if m.Images == nil {
+			m.Images = map[wire.ImageID]Image{}
+		}
+		m.Images[j.Spec.Bundle] = Fetching
+		m.PullGB += j.Spec.ImageGB
+	}
+	m.used(j.Spec.ID)
+}
+
 type pass struct {
 	s     *Snapshot
 	gains map[int][2]float64
@@ -330,6 +370,7 @@
 
 type choice struct {
 	machine int
+	picks   []int // of a gang: a machine for each unit
 	gain    float64
 	step    int // of the pass, when it was found
 }
@@ -377,6 +418,99 @@
 	return choice{machine: best, gain: p.gains[ji][bestClass]}
 }
 
+// groups are the sets of machines that a gang may be spread over: those of one
+// zone each if all of it must be in one place, else all.
+func groups(s *Snapshot, j *Job) [][]int {
+	var out [][]int
+	at := map[wire.Zone]int{}
+	for mi := range s.Machines {
+		z := wire.Zone("")
+		if j.Spec.SamePlace {
+			z = s.Machines[mi].Zone
+		}
+		g, ok := at[z]
+		if !ok {
+			g = len(out)
+			at[z], out = g, append(out, nil)
+		}
+		out[g] = append(out[g], mi)
+	}
+	return out
+}
+
+// chooseWhole finds machines for all units of a gang: in the preferred class
+// alone if all of it fits there, else anywhere, with the fewest that must fetch.
+func (p *pass) chooseWhole(ji int) choice {
+	j := &p.s.Jobs[ji]
+	take := Of(j.Spec)
+	out := choice{machine: none}
+	if !p.s.Teams[j.Spec.Owner].room(take.Times(float64(j.Pending))) {
+		return out
+	}
+	type seat struct {
+		mi    int
+		class utility.Class
+		last  bool
+		score float64
+	}
+	bestFetch, bestScore := 0, 0.0
+	for _, g := range groups(p.s, j) {
+		var seats []seat
+		for _, mi := range g {
+			m := &p.s.Machines[mi]
+			if !take.Fits(m.Free) || !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) || spoils(p.s, m, take) || m.claimed(j, take) {
+				continue
+			}
+			st := seat{mi, without, m.Cordoned || j.Avoid[m.ID], fit(j, m, take)}
+			if m.Images[j.Spec.Bundle] == Present {
+				st.class = withImage
+			}
+			seats = append(seats, st)
+		}
+		slices.SortStableFunc(seats, func(a, b seat) int {
+			switch {
+			case a.last != b.last && a.last:
+				return 1
+			case a.last != b.last:
+				return -1
+			}
+			return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.score, a.score))
+		})
+		var picks []int
+		fetch, score := 0, 0.0
+		inZone := map[wire.Zone]int{}
+		for _, st := range seats {
+			m := p.s.Machines[st.mi] // a copy, from which units are taken
+			first := true
+			for len(picks) < j.Pending && take.Fits(m.Free) && !spoils(p.s, &m, take) && !m.claimed(j, take) && j.ZoneHeld[m.Zone]+inZone[m.Zone] < j.Spec.ZoneCap() {
+				m.Free = m.Free.Minus(take)
+				m.used(j.Spec.ID)
+				inZone[m.Zone]++
+				picks = append(picks, st.mi)
+				if st.class == without && first {
+					fetch++
+				}
+				first = false
+				score += st.score
+				if st.last {
+					score -= 100
+				}
+			}
+		}
+		if len(picks) < j.Pending {
+			continue
+		}
+		if out.machine == none || fetch < bestFetch || fetch == bestFetch && score > bestScore {
+			class := withImage
+			if fetch > 0 {
+				class = without
+			}
+			out, bestFetch, bestScore = choice{machine: picks[0], picks: picks, gain: p.gains[ji][class]}, fetch, score
+		}
+	}
+	return out
+}
+
 // fit orders the machines of one class: a fetch that is under way beats a
 // new one, spot beats ordinary where both are allowed, services go together,
 // and then the machine that is left fullest.
@@ -437,7 +571,16 @@
 func preempt(s *Snapshot) (halts []Victim, clears []Clear) {
 	waiting := make([]int, 0)
 	for i := range s.Jobs {
-		if j := &s.Jobs[i]; j.Pending > j.Claims && MayPreempt(j.Spec) && s.Teams[j.Spec.Owner] != nil {
+		j := &s.Jobs[i]
+		if s.Teams[j.Spec.Owner] == nil || j.Pending <= j.Claims {
+			continue
+		}
+		if j.Spec.Gang() {
+			// Room is made for all of it or for none.
+			if j.Claims == 0 && j.Pending == j.Spec.Parts && (MayPreempt(j.Spec) || j.PatienceS > 0) {
+				waiting = append(waiting, i)
+			}
+		} else if MayPreempt(j.Spec) {
 			waiting = append(waiting, i)
 		}
 	}
@@ -455,6 +598,14 @@
 	for _, ji := range waiting {
 		j := &s.Jobs[ji]
 		take := Of(j.Spec)
+		if j.Spec.Gang() {
+			if s.Teams[j.Spec.Owner].room(take.Times(float64(j.Pending)).Plus(claimed[j.Spec.Owner][j.Spec.Urgency.Rank()])) {
+				for _, mi := range clearWhole(s, j, take) {
+					halts, clears = clear1(s, j, take, mi, clearFor(&s.Machines[mi], j, take), halts, clears)
+				}
+			}
+			continue
+		}
 		for mi := range s.Machines {
 			offers[mi] = clearFor(&s.Machines[mi], j, take)
 		}
@@ -471,30 +622,92 @@
 			if mi < 0 {
 				break
 			}
-			m := &s.Machines[mi]
-			var awaits []wire.Task
+			halts, clears = clear1(s, j, take, mi, offers[mi], halts, clears)
+			offers[mi] = clearFor(&s.Machines[mi], j, take)
+		}
+	}
+	return halts, clears
+}
+
+// clear1 makes room for one unit on a machine.
+func clear1(s *Snapshot, j *Job, take Res, mi int, o clearing, halts []Victim, clears []Clear) ([]Victim, []Clear) {
+	m := &s.Machines[mi]
+	var awaits []wire.Task
+	var kept []Victim
+	for vi, v := range m.Victims {
+		switch {
+		case !slices.Contains(o.picks, vi):
+			kept = append(kept, v)
+			continue
+		case ends(j, &v):
+			awaits = append(awaits, v.Task)
+		default:
+			halts = append(halts, v)
+		}
+		m.Stopping = m.Stopping.Plus(v.Takes)
+	}
+	c := Claim{j.Spec.ID, j.Spec.Urgency.Rank(), take}
+	m.Victims, m.Claims = kept, append(slices.Clone(m.Claims), c)
+	clears = append(clears, Clear{m.ID, c, awaits})
+	s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
+	j.ZoneHeld[m.Zone]++
+	return halts, clears
+}
+
+// clearWhole finds where room for all units of a gang costs least, a machine for
+// each unit; nil if it can't be made for all of them.
+func clearWhole(s *Snapshot, j *Job, take Res) []int {
+	var best []int
+	bestLost := 0.0
+	for _, g := range groups(s, j) {
+		ms := make(map[int]*Machine, len(g)) // as it would be with what is picked so far
+		offers := make(map[int]clearing, len(g))
+		for _, mi := range g {
+			if o := clearFor(&s.Machines[mi], j, take); o.ok {
+				offers[mi] = o
+			}
+		}
+		var picks []int
+		lost := 0.0
+		inZone := map[wire.Zone]int{}
+		for len(picks) < j.Pending {
+			at := -1
+			for _, mi := range g {
+				o, ok := offers[mi]
+				z := s.Machines[mi].Zone
+				if ok && o.ok && (at < 0 || o.lost < offers[at].lost) && zoneOpen(j, z) && j.ZoneHeld[z]+inZone[z] < j.Spec.ZoneCap() {
+					at = mi
+				}
+			}
+			if at < 0 {
+				break
+			}
+			m := ms[at]
+			if m == nil {
+				c := s.Machines[at]
+				m = &c
+				ms[at] = m
+			}
+			o := offers[at]
+			picks = append(picks, at)
+			lost += o.lost
+			inZone[m.Zone]++
 			var kept []Victim
 			for vi, v := range m.Victims {
-				switch {
-				case !slices.Contains(offers[mi].picks, vi):
+				if slices.Contains(o.picks, vi) {
+					m.Stopping = m.Stopping.Plus(v.Takes)
+				} else {
 					kept = append(kept, v)
-					continue
-				case ends(j, &v):
-					awaits = append(awaits, v.Task)
-				default:
-					halts = append(halts, v)
 				}
-				m.Stopping = m.Stopping.Plus(v.Takes)
 			}
-			c := Claim{j.Spec.ID, j.Spec.Urgency.Rank(), take}
-			m.Victims, m.Claims = kept, append(slices.Clone(m.Claims), c)
-			clears = append(clears, Clear{m.ID, c, awaits})
-			s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(take)
-			j.ZoneHeld[m.Zone]++
-			offers[mi] = clearFor(m, j, take)
+			m.Victims, m.Claims = kept, append(slices.Clone(m.Claims), Claim{j.Spec.ID, j.Spec.Urgency.Rank(), take})
+			offers[at] = clearFor(m, j, take)
+		}
+		if len(picks) == j.Pending && (best == nil || lost < bestLost) {
+			best, bestLost = picks, lost
 		}
 	}
-	return halts, clears
+	return best
 }
 
 // claimedBy is what each team will use once the room that is being made for its
@@ -578,7 +791,7 @@
 	}
 	order := make([]int, 0, len(m.Victims))
 	for vi := range m.Victims {
-		if v := &m.Victims[vi]; ends(j, v) || mayStop(j, v) {
+		if v := &m.Victims[vi]; ends(j, v) || MayPreempt(j.Spec) && mayStop(j, v) {
 			order = append(order, vi)
 		}
 	}
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -45,6 +45,24 @@
 	return wire.JobID(id), i, ok && err == nil && i >= 0 && wire.JobID(id).Valid()
 }
 
+// PieceKey of a piece of a chunk that has become too large to be written again.
+// The chunk stays as it is, and for the tasks of a piece that exists the piece
+// holds in its place. So each is replaced by itself, in one transaction.
+func PieceKey(id wire.JobID, n, piece int) string {
+	return ChunkKey(id, n) + "/" + strconv.Itoa(piece)
+}
+
+// ParsePieceKey reverses PieceKey.
+func ParsePieceKey(key string) (id wire.JobID, n, piece int, ok bool) {
+	at := strings.LastIndexByte(key, '/')
+	if at < 0 {
+		return "", 0, 0, false
+	}
+	id, n, ok = ParseChunkKey(key[:at])
+	piece, err := strconv.Atoi(key[at+1:])
+	return id, n, piece, ok && err == nil && piece >= 0
+}
+
 // JobRecord is the value of job/<id>.
 type JobRecord struct {
 	Spec   wire.Spec   `cbor:"spec"`
@@ -124,6 +142,8 @@
 	Done []int `cbor:"d"`
 	// Held lists the attempts that may be on a machine.
 	Held []Held `cbor:"r"`
+	// Size, of a piece of a chunk, is how many tasks each piece has.
+	Size int `cbor:"s,omitempty"`
 }
 
 // Ranges packs flags as ranges: from, to (exclusive), from, to…
@@ -181,3 +201,37 @@
 	}
 	return d
 }
+
+// CountAll counts the tasks that are done and those that may be on machines, by
+// all that is stored of a job's progress.
+func CountAll(entries []wire.Entry) (done, held int) {
+	type span struct{ from, to int }
+	pieces := map[int][]span{} // of a chunk, that hold in its place
+	recs := make([]ChunkRecord, len(entries))
+	for i, e := range entries {
+		if wire.Decode(e.Value, &recs[i]) != nil {
+			recs[i] = ChunkRecord{}
+		} else if _, n, k, ok := ParsePieceKey(e.Key); ok {
+			pieces[n] = append(pieces[n], span{k * recs[i].Size, (k + 1) * recs[i].Size})
+		}
+	}
+	for i, e := range entries {
+		rec := &recs[i]
+		done, held = done+Count(rec.Done), held+len(rec.Held)
+		_, n, ok := ParseChunkKey(e.Key)
+		if !ok {
+			continue
+		}
+		for _, p := range pieces[n] {
+			for k := 0; k+1 < len(rec.Done); k += 2 {
+				done -= max(0, min(rec.Done[k+1], p.to)-max(rec.Done[k], p.from))
+			}
+			for _, h := range rec.Held {
+				if h.Task >= p.from && h.Task < p.to {
+					held--
+				}
+			}
+		}
+	}
+	return done, held
+}
--- a/internal/wire/user.go
+++ b/internal/wire/user.go
@@ -7,8 +7,9 @@
 
 // The shapes that users submit.
 const (
-	Sweep  Shape = "sweep"  // an array of independent tasks
-	Daemon Shape = "daemon" // a service: replicas until cancelled
+	Sweep    Shape = "sweep"    // an array of independent tasks
+	Daemon   Shape = "daemon"   // a service: replicas until cancelled
+	Ensemble Shape = "ensemble" // a gang: all tasks run at the same time, or none
 )
 
 // Urgency is a job's priority.
@@ -77,6 +78,18 @@
 // Service tells whether the job's tasks run until it is cancelled.
 func (s *Spec) Service() bool { return s.Shape == Daemon }
 
+// Gang tells whether all of the job's tasks run at the same time or none does.
+func (s *Spec) Gang() bool { return s.Shape == Ensemble }
+
+// Together is how many of the job's tasks must be able to run at the same time:
+// all of a service or a gang.
+func (s *Spec) Together() int {
+	if s.Service() || s.Gang() {
+		return s.Parts
+	}
+	return 1
+}
+
 // ZoneCap is how many of the job's tasks may be in one zone.
 func (s *Spec) ZoneCap() int {
 	if s.Apart {
@@ -177,7 +190,7 @@
 	if !s.ID.Valid() {
 		fail("nameId", "not of the form req-000412")
 	}
-	if s.Shape != Sweep && s.Shape != Daemon {
+	if s.Shape != Sweep && s.Shape != Daemon && s.Shape != Ensemble {
 		fail("shape", "unknown")
 	}
 	switch s.Urgency {
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -7,6 +7,7 @@
 const (
 	Pulling Phase = "pulling"
 	Active  Phase = "running"
+	Waiting Phase = "waiting" // for the other tasks of its gang
 	Saving  Phase = "saving"
 	Exited  Phase = "exited"
 )
@@ -22,6 +23,10 @@
 	CauseFull    Cause = "full"
 	CauseBusy    Cause = "busy"
 	CauseNoSuch  Cause = "no_such"
+	// Of a gang's task: another one is gone, or the gang was not complete in
+	// time. No fault of the machine that it happens on.
+	CauseMatesGone Cause = "mates_gone"
+	CauseAlone     Cause = "alone"
 )
 
 // PartState is one task in a report.
--- a/node.go
+++ b/node.go
@@ -78,7 +78,7 @@
 	n.level.Set(n.base)
 	n.log = slog.New(slog.NewTextHandler(opt.Log, &slog.HandlerOptions{Level: n.level})).With("node", cfg.HostName)
 	set := &cfg.Settings
-	n.store = store.New(cfg.Endpoints.State, set.State, set.Size, n.net)
+	n.store = store.New(cfg.Endpoints.State, set.State.Least(), set.Size, n.net)
 	n.cloud = cloud.New(cfg.Endpoints.Cloud, set.Cloud, n.net)
 	var others []wire.NodeID
 	for _, o := range cfg.Others {
