Intake across the drop of the state service's limits; stand-in and scenarios for it

And what can't be stored under the limits to come was accepted until the drop. Now its size is estimated (wire.JSONSize, as it is when cancelled) and whatever is known of the job comes first. Ruled out: the guards' conflict, which never comes to be looked at.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -85,7 +85,7 @@
 const countsFor = 2 * time.Second
 
 func newCounts(set *config.Settings) counts {
-	per := max(0.5, set.State.RPS*0.15/float64(max(1, set.Size)))
+	per := max(0.5, set.State.Least().RPS*0.15/float64(max(1, set.Size)))
 	return counts{of: map[wire.JobID]count{}, budget: rate.NewLimiter(rate.Limit(per), max(1, int(per)))}
 }
 
@@ -250,7 +250,13 @@
 		}
 		return answer{status: http.StatusOK, body: wire.JobBrief{ID: s.ID, Status: s.Status}}
 	case errors.Is(err, store.ErrInvalid):
-		// Its record is over the limit of a value, and will be.
+		// Its record is over the limit of a value, and will be. But it may have
+		// been accepted while more was allowed, and then it stays so.
+		if s, err := in.state(ctx, spec.ID); err == nil {
+			return answer{status: http.StatusOK, body: wire.JobBrief{ID: s.ID, Status: s.Status}}
+		} else if !errors.Is(err, store.ErrMissing) {
+			return unavailable
+		}
 		in.log.Info("refuses a job that can't be stored", "job", spec.ID)
 		return answer{status: http.StatusUnprocessableEntity, body: wire.Reason{Error: "too large to be stored"}}
 	default:
@@ -268,6 +274,9 @@
 	if team.CPUsMax > 0 && n*s.CPUs > team.CPUsMax+wire.Eps || team.GPUsMax > 0 && n*s.Cards > team.GPUsMax+wire.Eps {
 		return "needs more than the team's limit", true
 	}
+	if !in.storable(&store.JobRecord{Spec: *s, Status: wire.Cancelled, At: wire.StampOf(time.Now()), Ended: wire.StampOf(time.Now()), Chunk: store.ChunkSize}) {
+		return "too large to be stored", true
+	}
 	fs := in.flavors()
 	if fs == nil {
 		return "machine types not known yet", false
@@ -280,6 +289,12 @@
 	return "a task fits no allowed machine type", true
 }
 
+// storable tells whether the state service takes a job's record, now and under
+// the limits to come. A job is judged as it is when cancelled, which takes most.
+func (in *Intake) storable(rec *store.JobRecord) bool {
+	return wire.JSONSize(rec) <= int(in.set.State.Least().ValueKB*1024)
+}
+
 // state reads a job's state: the live record first, then the final one.
 func (in *Intake) state(ctx context.Context, id wire.JobID) (wire.JobState, error) {
 	if s, ok := in.finals.get(id); ok {
@@ -372,7 +387,9 @@
 			continue
 		}
 		rec.Status, rec.Ended = wire.Cancelled, wire.StampOf(time.Now())
-		if bare {
+		// The record just fitted without its end, or under former limits. Nothing
+		// of the job is placed any more, so it can do without its list of types.
+		if bare || !in.storable(&rec) {
 			rec.Spec.Kits = nil
 		}
 		err = in.commit(ctx, wire.Txn{
@@ -388,8 +405,6 @@
 		case errors.As(err, &conflict):
 			continue // done or cancelled meanwhile
 		case errors.Is(err, store.ErrInvalid) && !bare:
-			// The record just fitted without its end. Nothing of the job is
-			// placed any more, so it can do without its list of types.
 			bare = true
 		default:
 			return unavailable
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -23,7 +23,7 @@
 )
 
 func rig(t *testing.T) (*Intake, http.Handler) {
-	set := &config.Settings{Teams: []config.Team{{Name: "red"}}, Limits: config.Limits{FDLimit: 900}}
+	set := &config.Settings{Teams: []config.Team{{Name: "red"}}, State: config.State{RPS: 100, WriteRPS: 100, TxnOps: 12, ValueKB: 16}, Limits: config.Limits{FDLimit: 900}}
 	away := netio.Net{Dial: func(context.Context, string, string) (net.Conn, error) {
 		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
 	}}
--- a/internal/leader/office.go
+++ b/internal/leader/office.go
@@ -79,7 +79,7 @@
 // nodes take a sixth of its rate at most.
 func (l *Leader) pollEvery() time.Duration {
 	s := &l.Config.Settings
-	return max(pollEvery, min(4*pollEvery, time.Duration(float64(time.Second)*6*float64(s.Size-1)/max(1, s.State.RPS))))
+	return max(pollEvery, min(4*pollEvery, time.Duration(float64(time.Second)*6*float64(s.Size-1)/max(1, s.State.Least().RPS))))
 }
 
 // take tries to take the free office once.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -34,9 +34,11 @@
 	late    lateWrites
 	maxOps  int
 	valueKB int
-	limits  limits
-	lag     time.Duration // of the answers to open watches
-	cut     wire.Revision // the newest change that is no longer kept
+	// oversize counts the transactions that were refused for their size.
+	oversize int
+	limits   limits
+	lag      time.Duration // of the answers to open watches
+	cut      wire.Revision // the newest change that is no longer kept
 }
 
 type entry struct {
@@ -207,16 +209,10 @@
 		wire.Answer(w, http.StatusOK, out)
 	case r.URL.Path == "/txn" && r.Method == "POST":
 		var t wire.Txn
-		if wire.Decode(raw, &t) != nil || len(t.Writes) > s.maxOps || len(t.Guards) > 4*s.maxOps || len(raw) > 64<<10 {
+		if wire.Decode(raw, &t) != nil || !s.allows(&t, len(raw)) {
 			bad()
 			return
 		}
-		for _, x := range t.Writes {
-			if jsonSize(x.Value) > s.valueKB<<10 || (x.Put == "") == (x.Drop == "") {
-				bad()
-				return
-			}
-		}
 		if !s.limits.admits(0, len(t.Writes)) {
 			wire.Answer(w, http.StatusTooManyRequests, wire.Reason{Error: "too many changes"})
 			return
--- /dev/null
+++ b/next_test.go
@@ -0,0 +1,296 @@
+package lilaclead_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lilaclead/internal/config"
+	"lilaclead/internal/standin"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// Scenarios in which the state service lowers its limits while jobs are under way
+// that were accepted, and in part stored, under the larger ones.
+
+// nextLimits are the limits to come.
+var nextLimits = config.NextState{RPS: 200, WriteRPS: 40, ValueKB: 2, TxnOps: 4}
+
+// lowering is a deployment with room for many small tasks.
+func lowering() config.Settings {
+	s := standin.DefaultSettings()
+	s.Teams = []config.Team{{Name: "red", CPUs: 400, CPUsMax: 400}, {Name: "blue", CPUs: 16}}
+	s.State = config.State{RPS: 200, WriteRPS: 60, ValueKB: 32, TxnOps: 12}
+	return s
+}
+
+// crumbs is an array of many small tasks.
+func crumbs(n, parts int, run float64) standin.Truth {
+	j := array(n, parts, run)
+	j.Spec.CPUs, j.Spec.RAM = 0.25, 0.5
+	return j
+}
+
+// upgrade restarts all nodes with settings that tell of the limits to come. Until
+// then they accept jobs as the version in production does.
+func upgrade(t *testing.T, w *standin.World) {
+	t.Helper()
+	for i := range w.Set.Size {
+		w.Configure(i, func(s *config.Settings) { s.State.Next = &nextLimits })
+		w.Kill(i)
+		time.Sleep(2 * time.Second)
+		if err := w.Up(i); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(6 * time.Second)
+	}
+}
+
+func drop(w *standin.World) {
+	w.State.Lower(int(nextLimits.ValueKB), nextLimits.TxnOps, nextLimits.RPS, nextLimits.WriteRPS)
+}
+
+// grown checks that a job's progress is stored in values over the limit to come:
+// else the drop would meet nothing.
+func grown(t *testing.T, w *standin.World, jobs ...standin.Truth) {
+	t.Helper()
+	for _, j := range jobs {
+		if n := w.State.LargestValue(store.RunPrefix + string(j.Spec.ID) + "/"); n <= int(nextLimits.ValueKB*1024) {
+			t.Errorf("the largest record of %s has %d bytes: the drop meets nothing", j.Spec.ID, n)
+		}
+	}
+}
+
+// pieces counts what is stored in pieces.
+func pieces(w *standin.World) int {
+	n := 0
+	for _, k := range w.State.Keys(store.RunPrefix) {
+		if strings.Count(k, "/") == 3 {
+			n++
+		}
+	}
+	return n
+}
+
+// settled checks that nothing is left of jobs that are over.
+func settled(t *testing.T, w *standin.World, jobs ...standin.Truth) {
+	t.Helper()
+	mustFinish(t, w, jobs...)
+	for _, j := range jobs {
+		if k := w.State.Keys(store.RunPrefix + string(j.Spec.ID) + "/"); len(k) > 0 {
+			t.Errorf("of %s is left %v", j.Spec.ID, k)
+		}
+		for i := range w.Set.Size {
+			status, raw, _ := w.Ask(i, "GET", "/v1/jobs/"+string(j.Spec.ID), nil)
+			var s wire.JobState
+			if status != 200 || wire.Decode(raw, &s) != nil || s.Status != wire.Done || s.Done != j.Spec.Parts {
+				t.Errorf("%s is %d %+v by node %d", j.Spec.ID, status, s, i)
+			}
+		}
+	}
+}
+
+// The limits drop while jobs are under way whose progress was stored under the
+// larger ones, in quiet and as other troubles come with it.
+func TestStateLimitsDrop(t *testing.T) {
+	kinds := map[string]func(t *testing.T, w *standin.World, at func(time.Duration)){
+		"quiet": func(t *testing.T, w *standin.World, at func(time.Duration)) { drop(w) },
+		"outage": func(t *testing.T, w *standin.World, at func(time.Duration)) {
+			w.State.Outage(true)
+			time.Sleep(5 * time.Second)
+			drop(w)
+			time.Sleep(15 * time.Second)
+			w.State.Outage(false)
+		},
+		"change of leader": func(t *testing.T, w *standin.World, at func(time.Duration)) {
+			l := w.Leader()
+			w.Kill(l)
+			time.Sleep(time.Second)
+			if w.Leader() != l {
+				t.Error("the office passed on before the drop")
+			}
+			drop(w)
+			followed(t, w, l)
+		},
+		"recovery": func(t *testing.T, w *standin.World, at func(time.Duration)) {
+			l := w.Leader()
+			w.Kill(l)
+			begin := time.Now()
+			for n := w.Leader(); n == l || n < 0; n = w.Leader() {
+				if time.Since(begin) > 15*time.Second {
+					t.Fatal("nobody followed")
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+			drop(w) // it has the office and reads
+			time.Sleep(3 * time.Second)
+			if err := w.Up(l); err != nil {
+				t.Fatal(err)
+			}
+		},
+		"changes of leader after it": func(t *testing.T, w *standin.World, at func(time.Duration)) {
+			drop(w)
+			for range 5 {
+				time.Sleep(4 * time.Second)
+				changeLeader(t, w)
+			}
+		},
+		"answers lost": func(t *testing.T, w *standin.World, at func(time.Duration)) {
+			w.State.Trouble(7, standin.TxnFault{Prefix: store.RunPrefix, Share: 0.3})
+			drop(w)
+			time.Sleep(20 * time.Second)
+			w.State.Trouble(0)
+		},
+		"all controllers end": func(t *testing.T, w *standin.World, at func(time.Duration)) {
+			drop(w)
+			time.Sleep(1500 * time.Millisecond)
+			for i := range w.Set.Size {
+				w.Kill(i)
+			}
+			time.Sleep(5 * time.Second)
+			for i := range w.Set.Size {
+				if err := w.Up(i); err != nil {
+					t.Fatal(err)
+				}
+			}
+		},
+	}
+	names := []string{}
+	for name := range kinds {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for i, name := range names {
+		t.Run(name, func(t *testing.T) {
+			playAs(t, lowering(), uint64(700+i), func(w *standin.World, at func(time.Duration)) {
+				a, b := crumbs(1, 400, 60), crumbs(2, 300, 75)
+				after, s, gone := crumbs(3, 100, 10), service(4, 3), service(5, 2)
+				at(2 * time.Second)
+				w.Submit(a, 0)
+				w.Submit(b, 0)
+				w.Submit(s, 0)
+				at(30 * time.Second)
+				upgrade(t, w)
+				w.Submit(gone, 20*time.Second)
+				grown(t, w, a, b)
+				if n := pieces(w); n > 0 || w.State.Oversize() > 0 {
+					t.Errorf("%d pieces, %d refused before the limits drop", n, w.State.Oversize())
+				}
+				kinds[name](t, w, at)
+				w.Submit(after, 0)
+				time.Sleep(150 * time.Second)
+				if w.State.Oversize() == 0 {
+					t.Error("nothing was refused by the lower limits")
+				}
+				t.Logf("%d transactions refused for their size", w.State.Oversize())
+				settled(t, w, a, b, after)
+				mustRun(t, w, s, "after the drop")
+				w.Checked(func(c *standin.Checker) {
+					if c.On(gone.Spec.ID) != 0 {
+						t.Error("the cancelled service still runs")
+					}
+					if c.Again() > 0 && name != "answers lost" && name != "all controllers end" {
+						t.Errorf("%d tasks were started again", c.Again())
+					}
+				})
+			})
+		})
+	}
+}
+
+// Jobs whose records are over the limit to come are cancelled after the drop, and
+// asked about and submitted again; what could not be stored is refused at once,
+// before the drop too.
+func TestLargeJobRecordsAcrossTheDrop(t *testing.T) {
+	playAs(t, lowering(), 720, func(w *standin.World, at func(time.Duration)) {
+		large := func(n int) standin.Truth {
+			j := crumbs(n, 300, 200)
+			for i := range 60 {
+				j.Spec.Kits = append(j.Spec.Kits, wire.Kit(fmt.Sprintf("kit-%s-%03d", strings.Repeat("x", 36), i)))
+			}
+			j.Spec.Kits = append(j.Spec.Kits, "c4", "c16")
+			return j
+		}
+		a, b, c, plain, never := large(1), large(2), large(3), crumbs(4, 300, 200), large(5)
+		b.RunS, c.Spec.Parts = 60, 2
+		at(2 * time.Second)
+		w.Submit(a, 0)
+		w.Submit(b, 0)
+		w.Submit(c, 0)
+		w.Submit(plain, 0)
+		at(20 * time.Second)
+		upgrade(t, w)
+		for _, when := range []string{"before", "after"} {
+			status, _, _ := w.Ask(1, "POST", "/v1/jobs", standin.Submission(never.Spec))
+			if status != 422 {
+				t.Errorf("what can't be stored is answered %d %s the drop", status, when)
+			}
+			for i := range w.Set.Size {
+				if status, raw, _ := w.Ask(i, "POST", "/v1/jobs", standin.Submission(a.Spec)); status != 200 {
+					t.Errorf("an accepted job submitted again %s the drop is answered %d %x", when, status, raw)
+				}
+			}
+			if when == "before" {
+				drop(w)
+			}
+		}
+		for _, j := range []standin.Truth{a, c, plain} {
+			if !cancelNow(t, w, j.Spec.ID, 10*time.Second) {
+				t.Errorf("%s could not be cancelled", j.Spec.ID)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		changeLeader(t, w)
+		time.Sleep(120 * time.Second)
+		settled(t, w, b)
+		w.Checked(func(ck *standin.Checker) {
+			for _, j := range []standin.Truth{a, c, plain} {
+				if ck.On(j.Spec.ID) != 0 {
+					t.Errorf("%d tasks of %s are left", ck.On(j.Spec.ID), j.Spec.ID)
+				}
+			}
+		})
+		if k := w.State.Keys(store.JobPrefix); len(k) > 0 {
+			t.Errorf("jobs that are over are left: %v", k)
+		}
+	})
+}
+
+// A job of 100,000 tasks goes through the drop, and its cancellation leaves
+// nothing behind.
+func TestLargestJobAcrossTheDrop(t *testing.T) {
+	playAs(t, lowering(), 730, func(w *standin.World, at func(time.Duration)) {
+		old, young := crumbs(1, 100_000, 30), crumbs(2, 100_000, 30)
+		old.Spec.CPUs, young.Spec.CPUs = 0.5, 0.5
+		at(2 * time.Second)
+		w.Submit(old, 0)
+		at(30 * time.Second)
+		upgrade(t, w)
+		drop(w)
+		w.Submit(young, 0)
+		time.Sleep(60 * time.Second)
+		changeLeader(t, w)
+		time.Sleep(60 * time.Second)
+		done := 0
+		status, raw, _ := w.Ask(0, "GET", "/v1/jobs/"+string(old.Spec.ID), nil)
+		var s wire.JobState
+		if status != 200 || wire.Decode(raw, &s) != nil {
+			t.Errorf("answered %d", status)
+		}
+		if done = s.Done; done < 300 {
+			t.Errorf("%d tasks done", done)
+		}
+		for _, j := range []standin.Truth{old, young} {
+			if !cancelNow(t, w, j.Spec.ID, 10*time.Second) {
+				t.Errorf("%s could not be cancelled", j.Spec.ID)
+			}
+		}
+		time.Sleep(150 * time.Second)
+		if k := w.State.Keys(store.RunPrefix); len(k) > 0 {
+			t.Errorf("%d records are left of jobs that are over", len(k))
+		}
+	})
+}
