Leader: a record that the state service refuses holds up nothing else

Causes, by reading: (1) a job's chunks were split while a transaction was being put together; with a smaller one of its chunks already in it the large one went out whole, was refused with 400, and both came back in the same order for ever. Now jobs are split before. (2) Any 400 was taken for the drop of the limits, and every later one only logged and repeated with all that was beside it. Now the parts go one by one, a single chunk over the limit to come shows the drop (no piece is written before), and anything else is left alone for 10 s, named in the log.

--- a/internal/leader/pieces.go
+++ b/internal/leader/pieces.go
@@ -1,8 +1,6 @@
 package leader
 
 import (
-	"slices"
-
 	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
 )
@@ -25,18 +23,25 @@
 	return int(t.set.State.ValueKB * 1024)
 }
 
-// splitChunks splits the chunks of a job so that they fit under the limits to
-// come. It is not done while one of them is being written.
-func (t *term) splitChunks(j *job, b *batch) bool {
-	small := store.ChunkFor(t.set.State.Least().ValueKB)
-	if !t.lowered || j.pieces > 0 || j.per <= small || j.archiving {
-		return false
+// splitLarge splits the chunks of jobs of which one is to be written that has
+// become too large. It is called while nothing is being written.
+func (t *term) splitLarge() {
+	if !t.lowered {
+		return
 	}
-	for _, c := range j.chunks {
-		if c != nil && (c.busy || slices.Contains(b.chunks, c)) {
-			return false
+	most, small := t.valueMost(), store.ChunkFor(t.set.State.Least().ValueKB)
+	for c := range t.dirty {
+		if j := c.job; j.pieces == 0 && j.per > small && !j.over && !j.archiving {
+			if rec := c.record(); rec.JSONSize() > most {
+				t.splitChunks(j, small)
+			}
 		}
 	}
+}
+
+// splitChunks splits all chunks of a job, so that they fit under the limits to
+// come.
+func (t *term) splitChunks(j *job, small int) {
 	n := (j.per + small - 1) / small
 	for j.per%n != 0 {
 		n++
@@ -58,7 +63,6 @@
 		}
 	}
 	t.log().Info("splits progress", "job", j.spec.ID, "tasks", j.per)
-	return true
 }
 
 // split makes chunks of so many tasks of the job's chunks, whose records stay
@@ -89,9 +93,6 @@
 	}
 }
 
-// split tells whether the chunk's job was split since, and it is no more.
-func (c *chunk) split() bool { return c.job.chunks[c.n%len(c.job.chunks)] != c }
-
 // key under which the chunk is stored.
 func (c *chunk) key() string {
 	if n := c.job.pieces; n > 0 {
@@ -154,6 +155,7 @@
 			orphan(e)
 			continue
 		}
+		t.lowered = true // else there were none
 		c := j.chunk(n*j.pieces + k)
 		for _, a := range c.holds {
 			a.release()
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -79,6 +79,7 @@
 	noted      uint64              // what of the ledger of cancellations has been taken in
 	writing    bool
 	lowered    bool // the state service has refused what the former limits allowed
+	alone      int  // so many transactions hold one thing each, to find what is refused
 	retryAt    time.Time
 	bookAt     time.Time // when bookkeeping may be written again
 	raiseAt    time.Time
@@ -444,7 +445,8 @@
 	stale     bool // its record has changed in a way not yet read
 	over      bool // to be archived
 	archiving bool
-	dropped   bool // the watch has shown that its record is gone
+	barred    time.Time // its end is not written before: it was refused by itself
+	dropped   bool      // the watch has shown that its record is gone
 	chunks    []*chunk
 	per       int // tasks of a chunk
 	// pieces is how many chunks each one that was stored was split into, 0: none
@@ -542,6 +544,8 @@
 	holds map[int]*attempt
 	dirty bool // differs from what is stored or being stored
 	busy  bool // being written
+	// barred: it is not written before, as it was refused by itself.
+	barred time.Time
 }
 
 func (c *chunk) hold(a *attempt) {
--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -30,8 +30,23 @@
 	over    []*job       // archived by it
 	orphans []wire.Guard // what it drops of jobs that are archived
 	later   []wire.Guard // what is to be dropped once it is executed
+	largest int          // size of the largest value in it
 }
 
+// things is how many things it holds that can be written one by one.
+func (b *batch) things() int { return len(b.chunks) + len(b.over) + len(b.orphans) }
+
+// keys that it writes, for the log.
+func (b *batch) keys() (out []string) {
+	for _, w := range b.txn.Writes {
+		out = append(out, w.Put+w.Drop)
+	}
+	return
+}
+
+// barFor is how long a record that is refused by itself is left alone.
+const barFor = 10 * time.Second
+
 // flush writes what has changed, in one transaction at a time: final states
 // and launches first, then bookkeeping at its own pace.
 func (t *term) flush(now time.Time) {
@@ -46,25 +61,27 @@
 	ops, size := t.set.State.Least().TxnOps, 0
 	guards := 4 * ops
 	full := func(n, bytes int) bool {
-		return len(b.txn.Writes)+n > ops || len(b.txn.Guards)+2*n > guards || size+bytes > maxTxnBytes
+		return t.alone > 0 && b.things() > 0 || len(b.txn.Writes)+n > ops || len(b.txn.Guards)+2*n > guards || size+bytes > maxTxnBytes
 	}
 	put := func(c *chunk, rec *store.ChunkRecord) {
 		size += rec.JSONSize()
+		b.largest = max(b.largest, rec.JSONSize())
 		b.txn.Guards = append(b.txn.Guards, wire.Guard{Key: c.key(), Stamp: c.stamp})
 		b.txn.Writes = append(b.txn.Writes, wire.Write{Put: c.key(), Value: wire.Encode(rec)})
 		b.chunks = append(b.chunks, c)
 	}
 	urgent := false
 	for j := range t.closing {
-		if !j.archiving && !j.stale {
+		if !j.archiving && !j.stale && !now.Before(j.barred) {
 			t.archive(b, j, full)
 			urgent = true
 		}
 	}
+	t.splitLarge()
 	var launches, book []*chunk
 	for c := range t.dirty {
 		switch j := c.job; {
-		case j.archiving || j.over || j.stale:
+		case j.archiving || j.over || j.stale || now.Before(c.barred):
 		case c.plans > 0:
 			launches = append(launches, c)
 		default:
@@ -77,9 +94,6 @@
 	most := t.valueMost()
 	for _, c := range launches {
 		rec := c.record()
-		if c.split() || rec.JSONSize() > most && t.splitChunks(c.job, b) {
-			continue
-		}
 		for rec.JSONSize() > most && t.unplan(c, now) {
 			rec = c.record()
 		}
@@ -111,7 +125,7 @@
 		}
 		for _, c := range book[:n] {
 			rec := c.record()
-			if c.split() || rec.JSONSize() > most && t.splitChunks(c.job, b) || full(1, rec.JSONSize()) {
+			if full(1, rec.JSONSize()) {
 				continue
 			}
 			put(c, &rec)
@@ -195,6 +209,7 @@
 // written takes in the outcome of a transaction.
 func (t *term) written(b *batch, rev wire.Revision, err error) {
 	t.writing = false
+	t.alone = max(0, t.alone-1)
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
@@ -221,22 +236,50 @@
 		t.writing = true
 		t.raise(b)
 	case errors.Is(err, store.ErrInvalid):
-		// The limits to come are in force, without notice. What was accepted
-		// under the former ones is from now on written in pieces.
 		t.undo(b)
-		if t.lowered {
-			t.log().Error("a transaction is refused as invalid", "writes", len(b.txn.Writes), "guards", len(b.txn.Guards))
-			t.retryAt = time.Now().Add(time.Second)
-		} else {
-			t.log().Info("the state service takes less than it did")
-			t.lowered = true
-		}
+		t.invalid(b, time.Now())
 	default:
 		t.undo(b)
 		t.retryAt = time.Now().Add(150 * time.Millisecond)
 	}
 }
 
+// invalid finds out what the service does not take of a transaction, which is
+// undone: whatever it is, it must hold up nothing else. What was in it is written
+// one by one. A chunk that is refused by itself and too large for the limits to
+// come shows that these are in force, without notice: what was accepted under the
+// former ones is from now on written in pieces. (Only that shows it: before all
+// nodes know of pieces none may be written.) Anything else that is refused by
+// itself is left alone for a while.
+func (t *term) invalid(b *batch, now time.Time) {
+	if n := b.things(); n > 1 {
+		t.log().Info("a transaction is refused as invalid; its parts go one by one", "writes", len(b.txn.Writes))
+		t.alone = n
+		return
+	}
+	next := t.set.State.Least().ValueKB
+	if len(b.chunks) == 1 && !t.lowered && b.largest > int(next*1024) {
+		t.log().Info("the state service takes less than it did", "refused", b.keys(), "bytes", b.largest)
+		t.lowered = true
+		return
+	}
+	t.log().Error("a record is refused as invalid", "keys", b.keys(), "bytes", b.largest)
+	for _, j := range b.over {
+		j.barred = now.Add(barFor)
+	}
+	for _, c := range b.chunks {
+		c.barred = now.Add(barFor)
+		for _, a := range c.holds {
+			if a.planned { // its room is of use to others meanwhile
+				t.drop(a, taskPending)
+				c.job.notBefore = now.Add(barFor)
+			}
+		}
+	}
+	// The next leader reads it again.
+	t.fleet.orphans = slices.DeleteFunc(t.fleet.orphans, func(g wire.Guard) bool { return slices.Contains(b.orphans, g) })
+}
+
 func (t *term) committed(b *batch, rev wire.Revision) {
 	// Not before: until its end is stored a job needs all of its chunks.
 	t.fleet.orphans = append(t.fleet.orphans, b.later...)
