--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -257,8 +257,7 @@
 		t.alone = n
 		return
 	}
-	next := t.set.State.Least().ValueKB
-	if len(b.chunks) == 1 && !t.lowered && b.largest > int(next*1024) {
+	if now, next := t.set.State.ValueKB, t.set.State.Least().ValueKB; len(b.chunks) == 1 && !t.lowered && b.largest > int(next*1024) && b.largest <= int(now*1024) {
 		t.log().Info("the state service takes less than it did", "refused", b.keys(), "bytes", b.largest)
 		t.lowered = true
 		return
