--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -228,10 +228,10 @@
 	if s.Workers.LeaseS > 0 && !(s.Workers.LeaseS > s.Workers.ReportS) {
 		bad("settings.workers.lease_s", "must be longer than report_s: leases would end between two reports")
 	}
-	if !(s.Workers.GangWaitS >= 0) {
+	if !(s.Workers.GangWaitS >= 0) || math.IsInf(float64(s.Workers.GangWaitS), 1) {
 		bad("settings.workers.gang_wait_s", "must be 0 or more")
 	}
-	if !(s.Workers.GangPeerS >= 0) {
+	if !(s.Workers.GangPeerS >= 0) || math.IsInf(float64(s.Workers.GangPeerS), 1) {
 		bad("settings.workers.gang_peer_s", "must be 0 or more")
 	}
 	if n := s.State.Next; n != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -96,3 +96,46 @@
 		}
 	}
 }
+
+// The fields for gangs and for the state service's limits to come: a file without
+// them is as good as before, and what is wrong in them is named.
+func TestGangsAndLimitsToCome(t *testing.T) {
+	change := func(workers, next string) (*Config, error) {
+		return Parse([]byte(strings.NewReplacer("[settings.cloud]", next+"\n[settings.cloud]", "cancel_s = 70.0", "cancel_s = 70.0\n"+workers).Replace(good)))
+	}
+	c, err := change("", "")
+	if err != nil || c.Settings.State.Next != nil || c.Settings.State.Least() != c.Settings.State || c.Settings.Workers.GangWaitS != 0 {
+		t.Errorf("without them: %v, %+v", err, c.Settings.State)
+	}
+	c, err = change("gang_wait_s = 40.0\ngang_peer_s = 3.0", "[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 3.0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := c.Settings.Workers; w.GangWaitS != 40 || w.GangPeerS != 3 {
+		t.Errorf("read %+v", w)
+	}
+	if got := c.Settings.State.Least(); got != (State{RPS: 10, WriteRPS: 3, ValueKB: 2, TxnOps: 4}) {
+		t.Errorf("the least of both is %+v", got)
+	}
+	// Limits that rise are kept to as soon as they hold, so not yet.
+	c, err = change("", "[settings.state.next]\nvalue_kb = 64.0\ntxn_ops = 40")
+	if got := c.Settings.State.Least(); err != nil || got != (State{RPS: 10, WriteRPS: 5, ValueKB: 16, TxnOps: 12}) {
+		t.Errorf("the least of both is %+v, %v", got, err)
+	}
+	for want, pair := range map[string][2]string{
+		"settings.workers.gang_wait_s":   {"gang_wait_s = -1.0", ""},
+		"settings.workers.gang_peer_s":   {"gang_peer_s = nan", ""},
+		"settings.state.next.rps":        {"", "[settings.state.next]\nrps = -1.0"},
+		"settings.state.next.write_rps":  {"", "[settings.state.next]\nwrite_rps = nan"},
+		"settings.state.next.value_kb":   {"", "[settings.state.next]\nvalue_kb = 0.1"},
+		"settings.state.next.txn_ops":    {"", "[settings.state.next]\ntxn_ops = 1"},
+		"settings.state.next.txn_ops: ":  {"", "[settings.state.next]\ntxn_ops = -4"},
+		"settings.state.next.value_kb: ": {"", "[settings.state.next]\nvalue_kb = nan"},
+		"settings.workers.gang_wait_s: ": {"gang_wait_s = inf", ""},
+		"settings.workers.gang_peer_s: ": {"gang_peer_s = inf", ""},
+	} {
+		if _, err := change(pair[0], pair[1]); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: error %v lacks %q", pair, err, want)
+		}
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -391,6 +391,9 @@
 		// of the job is placed any more, so it can do without its list of types.
 		if bare || !in.storable(&rec) {
 			rec.Spec.Kits = nil
+			if !in.storable(&rec) {
+				rec.Spec.Lane, rec.Spec.Bundle = "", "" // nor its names of 120 bytes, each of which may be escaped
+			}
 		}
 		err = in.commit(ctx, wire.Txn{
 			Guards: []wire.Guard{{Key: store.JobKey(id), Stamp: e.Stamp}},
--- a/internal/wire/size.go
+++ b/internal/wire/size.go
@@ -1,6 +1,9 @@
 package wire
 
-import "strconv"
+import (
+	"math"
+	"strconv"
+)
 
 // JSONSize estimates a value's size in the form in which the state service
 // counts it, from above: whatever is escaped, and with a space after each comma
@@ -39,7 +42,11 @@
 	case int64:
 		return len(strconv.FormatInt(x, 10))
 	case float64:
-		return len(strconv.FormatFloat(x, 'f', -1, 64)) + 2
+		form := byte('f')
+		if a := math.Abs(x); a != 0 && a < 1e-6 || a >= 1e21 {
+			form = 'e'
+		}
+		return len(strconv.FormatFloat(x, form, -1, 64)) + 2
 	case []any:
 		n := 2
 		for _, e := range x {
--- a/next_test.go
+++ b/next_test.go
@@ -17,7 +17,7 @@
 // that were accepted, and in part stored, under the larger ones.
 
 // nextLimits are the limits to come.
-var nextLimits = config.NextState{RPS: 200, WriteRPS: 40, ValueKB: 2, TxnOps: 4}
+var nextLimits = config.NextState{RPS: 200, WriteRPS: 25, ValueKB: 2, TxnOps: 4}
 
 // lowering is a deployment with room for many small tasks.
 func lowering() config.Settings {
@@ -30,7 +30,7 @@
 // crumbs is an array of many small tasks.
 func crumbs(n, parts int, run float64) standin.Truth {
 	j := array(n, parts, run)
-	j.Spec.CPUs, j.Spec.RAM = 0.25, 0.5
+	j.Spec.CPUs, j.Spec.RAM = 0.1, 0.3
 	return j
 }
 
@@ -118,6 +118,7 @@
 		"recovery": func(t *testing.T, w *standin.World, at func(time.Duration)) {
 			l := w.Leader()
 			w.Kill(l)
+			w.State.Late(func() time.Duration { return 300 * time.Millisecond }) // both lists
 			begin := time.Now()
 			for n := w.Leader(); n == l || n < 0; n = w.Leader() {
 				if time.Since(begin) > 15*time.Second {
@@ -125,8 +126,9 @@
 				}
 				time.Sleep(2 * time.Millisecond)
 			}
-			drop(w) // it has the office and reads
+			drop(w) // it has the office, and reads for 0.6 s
 			time.Sleep(3 * time.Second)
+			w.State.Late(nil)
 			if err := w.Up(l); err != nil {
 				t.Fatal(err)
 			}
@@ -137,6 +139,10 @@
 				time.Sleep(4 * time.Second)
 				changeLeader(t, w)
 			}
+			if pieces(w) == 0 {
+				t.Error("no leader read pieces")
+			}
+			changeLeader(t, w)
 		},
 		"answers lost": func(t *testing.T, w *standin.World, at func(time.Duration)) {
 			w.State.Trouble(7, standin.TxnFault{Prefix: store.RunPrefix, Share: 0.3})
@@ -158,46 +164,72 @@
 			}
 		},
 	}
+	kinds["cancellations"] = func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		drop(w)
+		if !cancelNow(t, w, "req-000006", 10*time.Second) {
+			t.Error("not cancelled")
+		}
+	}
 	names := []string{}
 	for name := range kinds {
 		names = append(names, name)
 	}
 	slices.Sort(names)
 	for i, name := range names {
-		t.Run(name, func(t *testing.T) {
-			playAs(t, lowering(), uint64(700+i), func(w *standin.World, at func(time.Duration)) {
-				a, b := crumbs(1, 400, 60), crumbs(2, 300, 75)
-				after, s, gone := crumbs(3, 100, 10), service(4, 3), service(5, 2)
-				at(2 * time.Second)
-				w.Submit(a, 0)
-				w.Submit(b, 0)
-				w.Submit(s, 0)
-				at(30 * time.Second)
-				upgrade(t, w)
-				w.Submit(gone, 20*time.Second)
-				grown(t, w, a, b)
-				if n := pieces(w); n > 0 || w.State.Oversize() > 0 {
-					t.Errorf("%d pieces, %d refused before the limits drop", n, w.State.Oversize())
-				}
-				kinds[name](t, w, at)
-				w.Submit(after, 0)
-				time.Sleep(150 * time.Second)
-				if w.State.Oversize() == 0 {
-					t.Error("nothing was refused by the lower limits")
-				}
-				t.Logf("%d transactions refused for their size", w.State.Oversize())
-				settled(t, w, a, b, after)
-				mustRun(t, w, s, "after the drop")
-				w.Checked(func(c *standin.Checker) {
-					if c.On(gone.Spec.ID) != 0 {
-						t.Error("the cancelled service still runs")
+		for seed := range meetSeeds(1) {
+			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
+				playAs(t, lowering(), uint64(700+i)+100*seed, func(w *standin.World, at func(time.Duration)) {
+					a, b := crumbs(1, 600, 60), crumbs(2, 250, 75)
+					after, s, gone := crumbs(3, 100, 10), service(4, 3), service(5, 2)
+					at(2 * time.Second)
+					w.Submit(a, 0)
+					w.Submit(b, 0)
+					w.Submit(s, 0)
+					c := crumbs(6, 250, 80)
+					w.Submit(c, 0)
+					at(30 * time.Second)
+					upgrade(t, w)
+					w.Submit(gone, 20*time.Second)
+					grown(t, w, a, b, c)
+					if n := pieces(w); n > 0 || w.State.Oversize() > 0 {
+						t.Errorf("%d pieces, %d refused before the limits drop", n, w.State.Oversize())
 					}
-					if c.Again() > 0 && name != "answers lost" && name != "all controllers end" {
-						t.Errorf("%d tasks were started again", c.Again())
+					w.Checked(func(ck *standin.Checker) {
+						if n := ck.On(a.Spec.ID) + ck.On(b.Spec.ID) + ck.On(c.Spec.ID); n < 500 {
+							t.Errorf("only %d tasks are under way", n)
+						}
+					})
+					kinds[name](t, w, at)
+					w.Submit(after, 0)
+					most := 0
+					for range 300 {
+						time.Sleep(500 * time.Millisecond)
+						most = max(most, pieces(w))
 					}
+					if most == 0 {
+						t.Error("nothing was written in pieces")
+					}
+					if w.State.Oversize() == 0 {
+						t.Error("nothing was refused by the lower limits")
+					}
+					over, _ := w.State.Over()
+					t.Logf("%d transactions refused for their size, %d requests for the rate, %d pieces", w.State.Oversize(), over, most)
+					settled(t, w, a, b, after)
+					if name != "cancellations" {
+						settled(t, w, c)
+					}
+					mustRun(t, w, s, "after the drop")
+					w.Checked(func(c *standin.Checker) {
+						if c.On(gone.Spec.ID) != 0 || c.On("req-000006") != 0 {
+							t.Error("what was cancelled still runs")
+						}
+						if c.Again() > 0 && name != "answers lost" && name != "all controllers end" {
+							t.Errorf("%d tasks were started again", c.Again())
+						}
+					})
 				})
 			})
-		})
+		}
 	}
 }
 
--- /dev/null
+++ b/upgrade_test.go
@@ -0,0 +1,144 @@
+package lilaclead_test
+
+import (
+	"encoding/hex"
+	"reflect"
+	"testing"
+	"time"
+
+	"lilaclead/internal/cancels"
+	"lilaclead/internal/peer"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+// While the version changes both serve: what either writes into the state service
+// and sends to the other nodes must be read by the other.
+
+// production is what the version that deploy/service.toml names wrote, by a program
+// built from that commit (2d2d3f76).
+var production = map[string]string{
+	"job":       "a46473706563b4666e616d6549646a7265712d303030343132646c616e6565747261696e656f776e657266766973696f6e65736861706565737765657067757267656e637966757267656e746570617274731906406463707573fb4020000000000000656361726473fb3ff00000000000006572616d4762fb40500000000000006662756e646c6566696d672d303767696d6167654762fb4018cccccccccccd646b69747382626738626334647369746561616973616d65506c616365f5656170617274f4677374616e646279f569657870656374656453fb406e0000000000006e736e617073686f74457665727953fb403e00000000000069736e617073686f7453fb40100000000000006464756553fb408c20000000000066737461747573667175657565646261741b000001a229f1287b656368756e6b190100",
+	"cancelled": "a56473706563b1666e616d6549646a7265712d303030343133646c616e65646c697665656f776e657266706f7274616c657368617065666461656d6f6e67757267656e63796470726f64657061727473036463707573fb3ff0000000000000656361726473fb00000000000000006572616d4762fb40133333333333336662756e646c6565696d672d6267696d6167654762fb3ff00000000000006973616d65506c616365f4656170617274f5677374616e646279f469657870656374656453fb00000000000000006e736e617073686f74457665727953fb000000000000000069736e617073686f7453fb0000000000000000667374617475736963616e63656c6c65646261741b000001a229f1287b65656e6465641b000001a229f13cc9656368756e6b190100",
+	"run":       "a3616e1161648400030918c861728283040c686e2d3030303233318318ff10686e2d303031323030",
+	"past":      "a26673746174757364646f6e6564646f6e65190640",
+	"lead":      "a2646e6f646568776f726b65722d32656e6f6e636566633066666565",
+	"flavors":   "a1646b69747381aa646e616d656267386463707573fb4058000000000000656361726473fb40200000000000006572616d4762fb4088000000000000676c6f63616c4762fb40690000000000006a70756c6c476250657253fb3ff00000000000006472617465fb4028000000000000686c6f775072696365fb401200000000000066726561647953fb40468000000000006573697465738261616162",
+	"settings":  "a27473657276696365732e73706172655f756e697473fb4000000000000000696c6f672e6c6576656c656465627567",
+	"beat":      "a66466726f6d68776f726b65722d31637365710965746f6b656e1829656c65616473f566736572766573f56568656172731878",
+	"ack":       "ad6466726f6d68776f726b65722d32637365710965746f6b656e1829656c65616473f466736572766573f565686561727300666772616e747318296573746f6f641ab2d05e00636167651b0000000df847580068756e70726f76656e1a3b9aca006963616e63656c6c656481a2616a6a7265712d30303034313361611a7735940067766f75636865731b00000004a817c800646b6e65771a1dcd6500",
+	"report":    "aa64686f7374686e2d30303032333164616464726f31302e312e302e3233323a39303030636b697462673864736974656161677374616e646279f5657368696674016574616c6c791858656261746f6e1829687761726e696e6753fb402900000000000065706172747382a364706172746c7265712d3030303431322f336374727902667374617475736772756e6e696e67a464706172746c7265712d3030303339382f306374727901667374617475736665786974656465636175736564646f6e65",
+}
+
+// reads checks that bytes of the production version are read as what they were
+// written from, and that the same value is written with the same bytes now.
+func reads[T any](t *testing.T, name string, want T) {
+	t.Helper()
+	raw, err := hex.DecodeString(production[name])
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got T
+	if err := wire.Decode(raw, &got); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%s of production is read as\n%+v, %v, want\n%+v", name, got, err, want)
+	}
+	if now := hex.EncodeToString(wire.Encode(want)); now != production[name] {
+		t.Errorf("%s is now written as\n%s, by production as\n%s", name, now, production[name])
+	}
+}
+
+func oldSpec() wire.Spec {
+	return wire.Spec{ID: "req-000412", Lane: "train", Owner: "vision", Shape: wire.Sweep, Urgency: wire.Urgent, Parts: 1600, CPUs: 8, Cards: 1, RAM: 64,
+		Bundle: "img-07", ImageGB: 6.2, Kits: []wire.Kit{"g8", "c4"}, Site: "a", SamePlace: true, Standby: true, Expected: 240, SnapshotEveryS: 30, SnapshotS: 4, Due: 900}
+}
+
+func TestProductionsRecordsAreRead(t *testing.T) {
+	reads(t, "job", store.JobRecord{Spec: oldSpec(), Status: wire.Queued, At: 1796000000123, Chunk: 256})
+	reads(t, "cancelled", store.JobRecord{Status: wire.Cancelled, At: 1796000000123, Ended: 1796000005321, Chunk: 256,
+		Spec: wire.Spec{ID: "req-000413", Lane: "live", Owner: "portal", Shape: wire.Daemon, Urgency: wire.Prod, Parts: 3, CPUs: 1, RAM: 4.8, Bundle: "img-b", ImageGB: 1, Apart: true}})
+	reads(t, "run", store.ChunkRecord{Next: 17, Done: []int{0, 3, 9, 200}, Held: []store.Held{{Task: 4, Try: 12, On: "n-000231"}, {Task: 255, Try: 16, On: "n-001200"}}})
+	reads(t, "past", store.PastRecord{Status: wire.Done, Done: 1600})
+	reads(t, "lead", store.LeadRecord{Node: "worker-2", Nonce: "c0ffee"})
+	reads(t, "flavors", wire.Flavors{Kits: []wire.Flavor{{Name: "g8", CPUs: 96, Cards: 8, RAM: 768, LocalGB: 200, PullGBPerS: 1, Rate: 12, LowPrice: 4.5, ReadyS: 45, Sites: []wire.Zone{"a", "b"}}}})
+	reads(t, "beat", peer.Beat{From: "worker-1", Seq: 9, Token: 41, Leads: true, Serves: true, Hears: 120})
+	reads(t, "ack", peer.Beat{From: "worker-2", Seq: 9, Token: 41, Serves: true, Grants: 41, Stood: 3 * time.Second, Age: time.Minute, Unproven: time.Second,
+		Word: cancels.Word{Cancelled: []cancels.Entry{{Job: "req-000413", Age: 2 * time.Second}}, Vouches: 20 * time.Second, Knew: 500 * time.Millisecond}})
+	warning := wire.Seconds(12.5)
+	reads(t, "report", wire.Report{Host: "n-000231", Addr: "10.1.0.232:9000", Kit: "g8", Site: "a", Standby: true, Shift: 1, Tally: 88, Baton: 41, WarningS: &warning,
+		Parts: []wire.PartState{{Part: "req-000412/3", Try: 2, Phase: wire.Active}, {Part: "req-000398/0", Try: 1, Phase: wire.Exited, Cause: wire.CauseDone}}})
+	var m map[string]any
+	raw, _ := hex.DecodeString(production["settings"])
+	if err := wire.Decode(raw, &m); err != nil || m["services.spare_units"] != 2.0 || m["log.level"] != "debug" {
+		t.Errorf("settings are read as %v, %v", m, err)
+	}
+}
+
+// The types of production, as far as its leader and its users' side read them.
+type (
+	oldJob struct {
+		Spec   oldJobSpec `cbor:"spec"`
+		Status string     `cbor:"status"`
+		At     int64      `cbor:"at"`
+		Ended  int64      `cbor:"ended,omitempty"`
+		Chunk  int        `cbor:"chunk,omitempty"`
+	}
+	oldJobSpec struct {
+		ID             string   `cbor:"nameId"`
+		Lane           string   `cbor:"lane"`
+		Owner          string   `cbor:"owner"`
+		Shape          string   `cbor:"shape"`
+		Urgency        string   `cbor:"urgency"`
+		Parts          int      `cbor:"parts"`
+		CPUs           float64  `cbor:"cpus"`
+		Cards          float64  `cbor:"cards"`
+		RAM            float64  `cbor:"ramGb"`
+		Bundle         string   `cbor:"bundle"`
+		ImageGB        float64  `cbor:"imageGb"`
+		Kits           []string `cbor:"kits,omitempty"`
+		Site           string   `cbor:"site,omitempty"`
+		SamePlace      bool     `cbor:"samePlace"`
+		Apart          bool     `cbor:"apart"`
+		Standby        bool     `cbor:"standby"`
+		Expected       float64  `cbor:"expectedS"`
+		SnapshotEveryS float64  `cbor:"snapshotEveryS"`
+		SnapshotS      float64  `cbor:"snapshotS"`
+		Due            float64  `cbor:"dueS,omitempty"`
+	}
+	oldHeld struct {
+		_    struct{} `cbor:",toarray"`
+		Task int
+		Try  uint64
+		On   string
+	}
+	oldChunk struct {
+		Next uint64    `cbor:"n"`
+		Done []int     `cbor:"d"`
+		Held []oldHeld `cbor:"r"`
+	}
+)
+
+// What is written now, until the limits have dropped, is read by production.
+func TestProductionReadsWhatIsWritten(t *testing.T) {
+	// Chunks are smaller, and their size is part of the job's record, as before.
+	size := store.ChunkFor(2)
+	var j oldJob
+	if err := wire.Decode(wire.Encode(store.JobRecord{Spec: oldSpec(), Status: wire.Cancelled, At: 5, Ended: 7, Chunk: size}), &j); err != nil {
+		t.Fatal(err)
+	}
+	want := oldJob{Status: "cancelled", At: 5, Ended: 7, Chunk: size, Spec: oldJobSpec{ID: "req-000412", Lane: "train", Owner: "vision", Shape: "sweep", Urgency: "urgent",
+		Parts: 1600, CPUs: 8, Cards: 1, RAM: 64, Bundle: "img-07", ImageGB: 6.2, Kits: []string{"g8", "c4"}, Site: "a", SamePlace: true, Standby: true, Expected: 240,
+		SnapshotEveryS: 30, SnapshotS: 4, Due: 900}}
+	if !reflect.DeepEqual(j, want) || size < 1 || size > 256 { // other sizes production takes for 256
+		t.Errorf("production reads %+v", j)
+	}
+	var c oldChunk
+	if err := wire.Decode(wire.Encode(store.ChunkRecord{Next: 9, Done: []int{1, 3}, Held: []store.Held{{Task: 4, Try: 8, On: "n-1"}}}), &c); err != nil ||
+		!reflect.DeepEqual(c, oldChunk{Next: 9, Done: []int{1, 3}, Held: []oldHeld{{Task: 4, Try: 8, On: "n-1"}}}) {
+		t.Errorf("production reads %+v, %v", c, err)
+	}
+	// A piece's key is no chunk's key: production would take it for left over.
+	// So none is written before the drop: TestNoPieceBeforeTheDrop.
+	if _, _, ok := store.ParseChunkKey(store.PieceKey("req-000412", 3, 1)); ok {
+		t.Error("a piece is read as a chunk")
+	}
+}
