--- a/next_test.go
+++ b/next_test.go
@@ -135,14 +135,16 @@
 		},
 		"changes of leader after it": func(t *testing.T, w *standin.World, at func(time.Duration)) {
 			drop(w)
+			for begin := time.Now(); pieces(w) == 0 && time.Since(begin) < time.Minute; {
+				time.Sleep(100 * time.Millisecond)
+			}
 			for range 5 {
-				time.Sleep(4 * time.Second)
+				if pieces(w) == 0 {
+					t.Error("there are no pieces for the next leader to read")
+				}
 				changeLeader(t, w)
+				time.Sleep(1500 * time.Millisecond)
 			}
-			if pieces(w) == 0 {
-				t.Error("no leader read pieces")
-			}
-			changeLeader(t, w)
 		},
 		"answers lost": func(t *testing.T, w *standin.World, at func(time.Duration)) {
 			w.State.Trouble(7, standin.TxnFault{Prefix: store.RunPrefix, Share: 0.3})
