Leader: a drained machine is released only when the end of what was on it is stored

Cause: a machine that was drained as slow was released in the moment its last tasks had completed, before that was stored; the leader ended 50 ms later, and the next one took 37 tasks that were done for lost with their machine, and started them again. Ruled out: pieces (the chunk was written later, by the next leader).

--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -515,7 +515,7 @@
 		return
 	}
 	t.expire(m, now)
-	if m.drain != "" && len(m.tasks) == 0 && len(m.strays) == 0 {
+	if m.drain != "" && len(m.tasks) == 0 && len(m.strays) == 0 && t.allStored(m) {
 		t.release(m, m.drain)
 		return
 	}
--- a/internal/leader/pieces_test.go
+++ b/internal/leader/pieces_test.go
@@ -334,3 +334,32 @@
 		}
 	})
 }
+
+// A machine that is drained is kept until the end of what was on it is stored.
+// (The next leader took 37 tasks that were done for lost with their machine.)
+func TestDrainedMachineWaitsForItsBooks(t *testing.T) {
+	desk(t, func(tm *term, m *machine, st *standin.State, settle func()) {
+		settle()
+		j := tm.jobs["req-1"]
+		tm.start(j, m, time.Now())
+		settle()
+		if !tm.allStored(m) {
+			t.Error("all is stored")
+		}
+		time.Sleep(time.Second)
+		for _, a := range j.attempts() {
+			tm.drop(a, taskDone)
+		}
+		if len(m.tasks) > 0 || tm.allStored(m) {
+			t.Error("released before its books are written")
+		}
+		tm.flush(time.Now())
+		if !tm.writing || tm.allStored(m) {
+			t.Error("released while its books are being written")
+		}
+		settle()
+		if !tm.allStored(m) || len(st.Keys(store.PastKey("req-1"))) == 0 {
+			t.Error("kept for ever")
+		}
+	})
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -78,8 +78,9 @@
 	chasing    map[*job]struct{}   // cancelled, with attempts that may be on machines
 	noted      uint64              // what of the ledger of cancellations has been taken in
 	writing    bool
-	lowered    bool // the state service has refused what the former limits allowed
-	alone      int  // so many transactions hold one thing each, to find what is refused
+	lowered    bool      // the state service has refused what the former limits allowed
+	alone      int       // so many transactions hold one thing each, to find what is refused
+	writeAt    time.Time // when the last write began
 	retryAt    time.Time
 	bookAt     time.Time // when bookkeeping may be written again
 	raiseAt    time.Time
--- a/internal/leader/write.go
+++ b/internal/leader/write.go
@@ -150,7 +150,7 @@
 	if urgent {
 		class = store.Vital
 	}
-	t.writing = true
+	t.writing, t.writeAt = true, now
 	go func() {
 		rev, err := t.l.Store.Commit(t.ctx, class, b.txn)
 		t.post(func() { t.written(b, rev, err) })
@@ -244,6 +244,20 @@
 	}
 }
 
+// allStored tells whether the end of all that was on a machine is stored. Before,
+// the next leader would take it for lost with the machine, and start it again.
+func (t *term) allStored(m *machine) bool {
+	if t.writing && !m.usedAt.After(t.writeAt) {
+		return false
+	}
+	for c := range t.dirty {
+		if !c.since.After(m.usedAt) && time.Now().After(c.barred) && time.Now().After(c.job.barred) {
+			return false
+		}
+	}
+	return true
+}
+
 // invalid finds out what the service does not take of a transaction, which is
 // undone: whatever it is, it must hold up nothing else. What was in it is written
 // one by one. A chunk that is refused by itself and too large for the limits to
