Stand-ins: workers run gangs, the checker knows them; scenarios of gangs

Gang tasks wait, start together, exit mates_gone or alone and save together. A gang has begun for the checker only when all of it runs. The unknown shape in the tests of bad input is another one, as ensemble is known now.

--- /dev/null
+++ b/gang_test.go
@@ -0,0 +1,513 @@
+package lilaclead_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"lilaclead/internal/standin"
+	"lilaclead/internal/wire"
+)
+
+// gang is a job whose tasks start together or never, and save.
+func gang(n, parts int, run float64) standin.Truth {
+	return standin.Truth{RunS: run, Spec: wire.Spec{
+		ID: wire.JobID(fmt.Sprintf("req-%06d", n)), Lane: "clash", Owner: "red", Shape: wire.Ensemble, Urgency: wire.Urgent,
+		Parts: parts, CPUs: 2, RAM: 6, Bundle: "img-g", ImageGB: 1, SamePlace: true, Expected: wire.Seconds(run),
+		SnapshotEveryS: 20, SnapshotS: 2}}
+}
+
+// shows waits for something that the stand-ins show.
+func shows(t *testing.T, most time.Duration, what string, is func() bool) bool {
+	t.Helper()
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if is() {
+			return true
+		}
+	}
+	t.Errorf("not within %v: %s", most, what)
+	return false
+}
+
+// recorded counts the chunks that are stored of a job's progress.
+func recorded(w *standin.World, j standin.Truth) int {
+	return len(w.State.Keys("run/" + string(j.Spec.ID) + "/"))
+}
+
+// runs waits until all of the gang runs.
+func runs(t *testing.T, w *standin.World, j standin.Truth, most time.Duration) bool {
+	t.Helper()
+	return shows(t, most, string(j.Spec.ID)+" runs whole", func() bool { return w.Gang(j.Spec.ID).Running == j.Spec.Parts })
+}
+
+func TestGangQuiet(t *testing.T) {
+	playBoth(t, 800, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		a, b, c := gang(1, 4, 30), gang(2, 1, 10), gang(3, 8, 25)
+		c.Spec.SamePlace, c.Spec.CPUs, c.Spec.SnapshotEveryS, c.Spec.SnapshotS = false, 1, 0, 0
+		at(2 * time.Second)
+		for _, j := range []standin.Truth{a, b, c} {
+			w.Submit(j, 0)
+		}
+		at(120 * time.Second)
+		mustFinish(t, w, a, b, c)
+		for _, j := range []standin.Truth{a, b, c} {
+			if g := w.Gang(j.Spec.ID); g.Starts != 1 || g.Falls != 0 {
+				t.Errorf("%s: %+v, want one start and no fall", j.Spec.ID, g)
+			}
+			if n := recorded(w, j); n != 0 {
+				t.Errorf("%s: %d records of progress are left", j.Spec.ID, n)
+			}
+		}
+	})
+}
+
+// A member is gone before its gang has started, by its machine's end or a
+// refusal: the gang must run soon all the same, well before the others have
+// waited in vain.
+func TestGangLosesAMemberBeforeTheStart(t *testing.T) {
+	for _, how := range []string{"machine taken", "refused"} {
+		t.Run(how, func(t *testing.T) {
+			playBoth(t, 801, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				warm, j := array(1, 12, 60), gang(2, 4, 20)
+				warm.Spec.CPUs = 1
+				j.Spec.ImageGB = 6 // it is fetched for a while
+				at(2 * time.Second)
+				w.Submit(warm, 0)
+				at(40 * time.Second)
+				if how == "refused" {
+					for _, id := range w.All() {
+						w.RefuseFull(id, 1)
+					}
+				}
+				w.Submit(j, 0)
+				if how == "machine taken" {
+					shows(t, 30*time.Second, "fetches", func() bool { g := w.Gang(j.Spec.ID); return g.Pulling == 4 && g.Starts == 0 })
+					w.TakeMachine(w.Members(j.Spec.ID)[0])
+				}
+				before := time.Now()
+				runs(t, w, j, 60*time.Second)
+				t.Logf("runs after %v, %+v", time.Since(before), w.Gang(j.Spec.ID))
+				at(160 * time.Second)
+				mustFinish(t, w, j)
+				if g := w.Gang(j.Spec.ID); g.Alone != 0 {
+					t.Errorf("%d tasks waited in vain", g.Alone)
+				}
+			})
+		})
+	}
+}
+
+// A member is gone, hangs or fails after the start: the gang starts again as a
+// whole from its last checkpoint.
+func TestGangLosesAMemberAfterTheStart(t *testing.T) {
+	for _, how := range []string{"taken", "hangs", "hangs for long", "reborn"} {
+		t.Run(how, func(t *testing.T) {
+			playBoth(t, 802, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				j := gang(1, 4, 60)
+				at(2 * time.Second)
+				w.Submit(j, 0)
+				runs(t, w, j, 40*time.Second)
+				time.Sleep(30 * time.Second)
+				on := w.Members(j.Spec.ID)
+				switch how {
+				case "taken":
+					w.TakeMachine(on[0])
+				case "reborn":
+					w.Rebirth(on[0])
+				default:
+					w.Unrest(true)
+					w.Hang(true, on[0])
+					d := 11 * time.Second
+					if how == "hangs for long" {
+						d = 60 * time.Second
+					}
+					time.Sleep(d)
+					w.Hang(false, on[0])
+					w.Unrest(false)
+				}
+				shows(t, 100*time.Second, "starts again", func() bool { return w.Gang(j.Spec.ID).Starts == 2 })
+				if g := w.Gang(j.Spec.ID); g.Falls != 1 || g.Saved != 20 {
+					t.Errorf("%+v, want one fall to 20 s", g)
+				}
+				time.Sleep(70 * time.Second)
+				mustFinish(t, w, j)
+			})
+		})
+	}
+}
+
+// The leader ends at each step between a gang's record and its start, and in its
+// orderly stop: no half is left, and it starts soon.
+func TestGangLosesTheLeader(t *testing.T) {
+	id := gang(1, 4, 40)
+	id.Spec.Kits = []wire.Kit{"c4"}
+	step := map[string]func(g standin.Gang, recorded int) bool{
+		"recorded": func(g standin.Gang, n int) bool { return n > 0 && g.Pulling+g.Waiting+g.Running == 0 },
+		"first launched": func(g standin.Gang, _ int) bool {
+			n := g.Pulling + g.Waiting
+			return n > 0 && n < 4 && g.Running == 0
+		},
+		"all launched":  func(g standin.Gang, _ int) bool { return g.Pulling == 4 },
+		"first waiting": func(g standin.Gang, _ int) bool { return g.Waiting > 0 && g.Running == 0 },
+		"running":       func(g standin.Gang, _ int) bool { return g.Running == 4 },
+	}
+	for name, is := range step {
+		for _, down := range []time.Duration{200 * time.Millisecond, 6 * time.Second} {
+			t.Run(fmt.Sprint(name, " ", down), func(t *testing.T) {
+				playBoth(t, 803, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+					j := id
+					warm := array(9, 10, 15)
+					warm.Spec.Standby, warm.Spec.Kits = false, id.Spec.Kits
+					at(2 * time.Second)
+					w.Submit(warm, 0)
+					at(30 * time.Second)
+					if name == "first waiting" {
+						for i, id := range w.All() {
+							w.SlowMachine(id, []float64{1, 0.3}[i%2])
+						}
+					}
+					if name == "recorded" || name == "first launched" {
+						w.LagCommands(standin.Lag{Command: 300 * time.Millisecond})
+						l := w.Leader()
+						if name == "first launched" { // one of the machines gets its command later
+							for i, id := range w.All() {
+								if i%2 == 1 {
+									w.Net.SlowLink(standin.NodeIP(l), w.IP(id), 3*time.Second)
+								}
+							}
+						}
+					}
+					w.Submit(j, 0)
+					if !shows(t, 40*time.Second, name, func() bool { return is(w.Gang(j.Spec.ID), recorded(w, j)) }) {
+						return
+					}
+					l := w.Leader()
+					w.Kill(l)
+					w.LagCommands(standin.Lag{})
+					time.Sleep(down)
+					w.Up(l)
+					begin := time.Now()
+					shows(t, 60*time.Second, "runs", func() bool { return w.Gang(j.Spec.ID).Starts > 0 })
+					t.Logf("%s: runs %v after, %+v", name, time.Since(begin), w.Gang(j.Spec.ID))
+					time.Sleep(160 * time.Second)
+					mustFinish(t, w, j)
+					if g := w.Gang(j.Spec.ID); g.Starts != 1 || g.Alone > 0 {
+						t.Errorf("%+v: want one start, nobody alone", g)
+					}
+				})
+			})
+		}
+	}
+}
+
+// full fills all room that there is with low arrays and lets no more be rented.
+func full(w *standin.World, at func(time.Duration), a standin.Truth, by time.Duration) {
+	w.Submit(a, 0)
+	at(by)
+	w.NoMore()
+}
+
+// A service of prod preempts a gang: all of its tasks are stopped together, and
+// what they have done is saved. The leader may end in the middle.
+func TestGangIsPreempted(t *testing.T) {
+	for _, how := range []string{"quiet", "leader ends at the first halt", "a halt is late"} {
+		t.Run(how, func(t *testing.T) {
+			playAs(t, standin.DefaultSettings(), 804, func(w *standin.World, at func(time.Duration)) {
+				j, s := gang(1, 4, 50), service(2, 6)
+				j.Spec.Urgency = wire.Standard
+				s.Spec.Apart, s.Spec.RAM = false, 6
+				at(2 * time.Second)
+				w.Submit(j, 0)
+				runs(t, w, j, 60*time.Second)
+				w.NoMore()
+				time.Sleep(25 * time.Second) // 5 s past its checkpoint
+				w.Submit(s, 0)
+				if !shows(t, 20*time.Second, "is stopped", func() bool { g := w.Gang(j.Spec.ID); return g.Saving > 0 || g.Saves+g.Falls > 0 }) {
+					return
+				}
+				if how == "leader ends at the first halt" {
+					l := w.Leader()
+					w.Kill(l)
+					time.Sleep(time.Second)
+					w.Up(l)
+				}
+				time.Sleep(30 * time.Second)
+				g := w.Gang(j.Spec.ID)
+				t.Logf("%+v", g)
+				if how == "quiet" && (g.Saves != 1 || g.Falls != 0 || g.Saved < 24) {
+					t.Errorf("%+v, want one orderly stop", g)
+				}
+				mustRun(t, w, s, "with room made")
+			})
+		})
+	}
+}
+
+// A spot notice on one member's machine: all of the gang saves.
+func TestGangSpotNotice(t *testing.T) {
+	for _, left := range []time.Duration{25 * time.Second, 12 * time.Second} {
+		t.Run(fmt.Sprint(left), func(t *testing.T) {
+			playBoth(t, 805, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				j := gang(1, 4, 60)
+				j.Spec.Standby = true
+				at(2 * time.Second)
+				w.Submit(j, 0)
+				runs(t, w, j, 60*time.Second)
+				time.Sleep(33 * time.Second)
+				w.Notice(w.Members(j.Spec.ID)[0], left)
+				shows(t, 60*time.Second, "starts again", func() bool { return w.Gang(j.Spec.ID).Starts == 2 })
+				if g := w.Gang(j.Spec.ID); g.Saves != 1 || g.Falls != 0 || g.Saved < 33 {
+					t.Errorf("%+v, want one orderly stop", g)
+				}
+				time.Sleep(60 * time.Second)
+				mustFinish(t, w, j)
+			})
+		})
+	}
+}
+
+// A gang is cancelled in each phase: all of it is gone within cancel_s.
+func TestGangCancelled(t *testing.T) {
+	phases := map[string]func(g standin.Gang) bool{
+		"queued":  func(g standin.Gang) bool { return true },
+		"pulling": func(g standin.Gang) bool { return g.Pulling > 0 },
+		"waiting": func(g standin.Gang) bool { return g.Waiting > 0 },
+		"running": func(g standin.Gang) bool { return g.Running == 4 },
+		"saving":  func(g standin.Gang) bool { return g.Saving > 0 },
+	}
+	for name, is := range phases {
+		t.Run(name, func(t *testing.T) {
+			playBoth(t, 806, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+				j := gang(1, 4, 60)
+				j.Spec.Standby, j.Spec.SnapshotS = true, 4
+				at(2 * time.Second)
+				w.Submit(j, 0)
+				time.Sleep(time.Second)
+				if name == "saving" {
+					runs(t, w, j, 60*time.Second)
+					w.Notice(w.Members(j.Spec.ID)[0], 30*time.Second)
+				}
+				if !shows(t, 60*time.Second, name, func() bool { return is(w.Gang(j.Spec.ID)) }) {
+					return
+				}
+				shows(t, 10*time.Second, "cancelled", func() bool {
+					status, _, _ := w.Ask(0, "POST", "/v1/jobs/"+string(j.Spec.ID)+"/cancel", nil)
+					return status == 200
+				})
+				time.Sleep(12 * time.Second)
+				if g := w.Gang(j.Spec.ID); g.Pulling+g.Waiting+g.Running+g.Saving != 0 {
+					t.Errorf("12 s after its cancellation: %+v", g)
+				}
+				time.Sleep(60 * time.Second)
+				w.Submit(array(5, 1, 1), 0)
+				time.Sleep(40 * time.Second)
+			})
+		})
+	}
+}
+
+// Gangs compete with arrays for room that is always full, and with each other,
+// also under their team's limit: each begins within four minutes.
+func TestGangsCompete(t *testing.T) {
+	playBoth(t, 807, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		var gangs []standin.Truth
+		at(2 * time.Second)
+		for n := range 12 {
+			w.Submit(array(100+n, 8, 20), 0)
+		}
+		at(35 * time.Second)
+		w.NoMore()
+		began := map[wire.JobID]time.Duration{}
+		for n := range 45 {
+			at(time.Duration(36+5*n) * time.Second)
+			a := array(200+n, 10, 30)
+			if n%2 == 1 {
+				a.Spec.Owner = "blue"
+			}
+			w.Submit(a, 0)
+			if n%9 == 0 {
+				for k, parts := range []int{4, 6} {
+					j := gang(10+len(gangs), parts, 25)
+					j.Spec.Standby = true
+					if k == 1 {
+						j.Spec.Urgency, j.Spec.SamePlace = wire.Standard, false
+					}
+					gangs = append(gangs, j)
+					w.Submit(j, 0)
+				}
+			}
+		}
+		submitted := func(k int) time.Duration { return time.Duration(36+45*(k/2)) * time.Second }
+		at(520 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			for k, j := range gangs {
+				d, ok := c.Waited(j.Spec.ID)
+				began[j.Spec.ID] = d
+				if !ok || d > 4*time.Minute {
+					t.Errorf("%s of %d (submitted at %v) began after %v, %v", j.Spec.ID, j.Spec.Parts, submitted(k), d, ok)
+				}
+			}
+		})
+		t.Logf("began after %v", began)
+	})
+}
+
+// A zone is cut off with a gang inside, shorter and longer than its lease, while
+// copies of its old reports come in.
+func TestGangBehindACut(t *testing.T) {
+	for _, d := range []time.Duration{5 * time.Second, 30 * time.Second, 70 * time.Second} {
+		for _, leads := range []bool{false, true} {
+			t.Run(fmt.Sprint(d, " leader inside ", leads), func(t *testing.T) {
+				playAs(t, sized(5), 808, func(w *standin.World, at func(time.Duration)) {
+					at(2 * time.Second)
+					time.Sleep(3 * time.Second)
+					z := leadersZone(w, leads)
+					in, other := gang(1, 4, 50), gang(2, 4, 50)
+					across := gang(3, 6, 50)
+					in.Spec.Site, across.Spec.SamePlace, across.Spec.Apart = z, false, true
+					w.Submit(in, 0)
+					w.Submit(other, 0)
+					w.Submit(across, 0)
+					runs(t, w, in, 40*time.Second)
+					time.Sleep(10 * time.Second)
+					for _, id := range w.Members(in.Spec.ID) {
+						w.Copy(id, 3*time.Second, 20*time.Second, 60*time.Second, 100*time.Second)
+					}
+					w.CutZone(z, true)
+					time.Sleep(d)
+					w.CutZone(z, false)
+					time.Sleep(180 * time.Second)
+					mustFinish(t, w, in, other, across)
+					t.Logf("in %+v\nother %+v\nacross %+v", w.Gang(in.Spec.ID), w.Gang(other.Spec.ID), w.Gang(across.Spec.ID))
+				})
+			})
+		}
+	}
+}
+
+// Copies of reports that show an older attempt come while the next one waits and
+// runs, also to a new leader.
+func TestGangLateCopies(t *testing.T) {
+	playAs(t, sized(5), 809, func(w *standin.World, at func(time.Duration)) {
+		j := gang(1, 4, 60)
+		at(2 * time.Second)
+		w.Submit(j, 0)
+		runs(t, w, j, 40*time.Second)
+		on := w.Members(j.Spec.ID)
+		var late []time.Duration
+		for d := 1; d < 70; d += 2 {
+			late = append(late, time.Duration(d)*time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		for _, id := range on {
+			w.Copy(id, late...)
+		}
+		w.TakeMachine(on[0])
+		time.Sleep(15 * time.Second)
+		l := w.Leader()
+		w.Kill(l)
+		time.Sleep(time.Second)
+		w.Up(l)
+		time.Sleep(150 * time.Second)
+		mustFinish(t, w, j)
+		if g := w.Gang(j.Spec.ID); g.Starts != 2 || g.Falls != 1 {
+			t.Errorf("%+v, want two starts", g)
+		}
+	})
+}
+
+// Seeded troubles, with gangs beside arrays and services. WORLD_SEEDS asks for
+// more of them.
+func TestGangSeededTroubles(t *testing.T) {
+	most, _ := strconv.Atoi(os.Getenv("WORLD_SEEDS"))
+	for seed := range uint64(max(6, most)) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 3))
+			playAs(t, sized(3+2*int(seed%2)), 820+seed, func(w *standin.World, at func(time.Duration)) {
+				seconds := within(rng)
+				size := 3 + 2*int(seed%2)
+				var all []standin.Truth
+				at(2 * time.Second)
+				w.Submit(service(900, 3), 0)
+				for n := range 24 {
+					at(time.Duration(3+6*n)*time.Second + seconds(4))
+					j := gang(10+n, 2+rng.IntN(4), float64(5+rng.IntN(50)))
+					j.Spec.SamePlace, j.Spec.Standby = rng.IntN(3) > 0, rng.IntN(2) == 0
+					if rng.IntN(2) == 0 {
+						j.Spec.Urgency = wire.Standard
+					}
+					if n%3 == 2 {
+						j = array(100+n, 1+rng.IntN(8), float64(5+rng.IntN(25)))
+					}
+					cancel := mayCancel(rng)
+					if cancel == 0 {
+						all = append(all, j)
+					}
+					w.Submit(j, cancel)
+					switch k := rng.IntN(11); k {
+					case 0, 1:
+						i := rng.IntN(size)
+						if l := w.Leader(); k == 1 && l >= 0 {
+							i = l
+						}
+						w.Kill(i)
+						time.Sleep(seconds(5))
+						w.Up(i)
+					case 2:
+						w.State.Outage(true)
+						time.Sleep(seconds(20))
+						w.State.Outage(false)
+					case 3, 4:
+						if on := w.Members(j.Spec.ID); len(on) > 0 {
+							w.TakeMachine(on[0])
+						} else {
+							w.Take(1, func(_ bool, tasks int) bool { return tasks > 0 })
+						}
+					case 5:
+						if id, _, ok := w.Some(func(n int) bool { return n > 0 }); ok {
+							w.Notice(id, 8*time.Second+seconds(20))
+						}
+					case 6:
+						if id, _, ok := w.Some(func(n int) bool { return n > 0 }); ok {
+							w.Unrest(true)
+							w.Hang(true, id)
+							time.Sleep(seconds(30))
+							w.Hang(false, id)
+							w.Unrest(false)
+						}
+					case 7:
+						w.State.LoseAnswers(1)
+					case 8:
+						z := []wire.Zone{"a", "b"}[rng.IntN(2)]
+						w.CutZone(z, true)
+						time.Sleep(seconds(40))
+						w.CutZone(z, false)
+					case 9:
+						_, ip, ok := w.Some(func(n int) bool { return n > 0 })
+						if i := rng.IntN(size); ok {
+							w.Net.Hold(standin.NodeIP(i), ip, true)
+							time.Sleep(seconds(25))
+							w.Net.Hold(standin.NodeIP(i), ip, false)
+						}
+					case 10:
+						for _, id := range w.All() {
+							w.Copy(id, seconds(30))
+						}
+					}
+				}
+				w.Checked(func(c *standin.Checker) { c.Calm(time.Now()) })
+				time.Sleep(220 * time.Second)
+				mustFinish(t, w, all...)
+				starts, saves, falls, alone := 0, 0, 0, 0
+				for _, j := range all {
+					g := w.Gang(j.Spec.ID)
+					starts, saves, falls, alone = starts+g.Starts, saves+g.Saves, falls+g.Falls, alone+g.Alone
+				}
+				t.Logf("%d jobs, %d starts of gangs, %d saved, %d fell back, %d tasks alone", len(all), starts, saves, falls, alone)
+			})
+		})
+	}
+}
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -33,6 +33,8 @@
 	// LeftWaiting: while all was calm a job started nothing although a machine
 	// that fits had room all that time and its team was under its limit.
 	LeftWaiting Rule = "left_waiting"
+	// HalfRun: a gang ran without some of its tasks.
+	HalfRun Rule = "half_run"
 )
 
 // Break of a rule.
@@ -323,8 +325,8 @@
 		c.late++
 	}
 	c.goesOn(t, j, p, now, "starts")
-	if j.began.IsZero() {
-		j.began = now
+	if j.began.IsZero() && !j.spec.Gang() {
+		j.began = now // a gang begins when all of it runs
 	}
 	s := &j.spec
 	if p.Spot && !s.Standby || s.Site != "" && s.Site != p.Zone || s.Kits != nil && !slices.Contains(s.Kits, p.Kit) {
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -351,7 +351,7 @@
 			t.Errorf("a wrong %s", k)
 		}
 	}
-	for k, v := range map[string]any{"nameId": "job-1", "shape": "ensemble", "urgency": "now", "parts": 100_001, "cpus": -1.0, "dueS": -1.0, "ramGb": "many"} {
+	for k, v := range map[string]any{"nameId": "job-1", "shape": "choir", "urgency": "now", "parts": 100_001, "cpus": -1.0, "dueS": -1.0, "ramGb": "many"} {
 		m := Submission(good)
 		if m[k] = v; !noted(m) {
 			t.Errorf("%s %v", k, v)
--- a/internal/standin/waiting.go
+++ b/internal/standin/waiting.go
@@ -79,11 +79,19 @@
 		moved := len(mine) > j.waits.held
 		j.waits.held = len(mine)
 		limit, u := c.Limits[s.Owner], used[s.Owner]
-		full := limit.CPUs > 0 && u.CPUs+s.CPUs > limit.CPUs+wire.Eps || limit.Cards > 0 && u.Cards+s.Cards > limit.Cards+wire.Eps
+		more := 1.0
+		if s.Gang() {
+			more = float64(s.Parts)
+		}
+		full := limit.CPUs > 0 && u.CPUs+more*s.CPUs > limit.CPUs+wire.Eps || limit.Cards > 0 && u.Cards+more*s.Cards > limit.Cards+wire.Eps
 		// What completed may have been lost on its way, with its machine: then its
 		// user is told that it goes on, and it waits to be started again.
 		lost := len(mine) == 0 && !j.openAt.IsZero() && now.Sub(j.openAt) < 15*time.Second
 		all := taken >= s.Parts && !lost
+		if s.Gang() && (len(mine) > 0 || !gangFits(rooms, s, j.waits.failed)) {
+			j.waits.end() // what is left of its last attempt goes first
+			continue
+		}
 		if !calm || !j.accepted || j.cancelReq || j.told != "" || all || moved || full {
 			j.waits.end()
 			continue
@@ -129,10 +137,7 @@
 	if !known {
 		return "its team is unknown"
 	}
-	n := 1.0
-	if s.Service() {
-		n = float64(s.Parts)
-	}
+	n := float64(s.Together())
 	if limit.CPUs > 0 && n*s.CPUs > limit.CPUs+wire.Eps || limit.Cards > 0 && n*s.Cards > limit.Cards+wire.Eps {
 		return "it needs more than its team's limit"
 	}
@@ -215,7 +220,7 @@
 	if !formOfID.MatchString(m["nameId"].(string)) {
 		return "nameId has another form"
 	}
-	if !slices.Contains([]any{"sweep", "daemon"}, m["shape"]) {
+	if !slices.Contains([]any{"sweep", "daemon", "ensemble"}, m["shape"]) {
 		return "shape is unknown"
 	}
 	if !slices.Contains([]any{"prod", "urgent", "standard", "best_effort"}, m["urgency"]) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -205,6 +205,7 @@
 	for t, x := range m.tasks {
 		x.cancel()
 		m.w.check.Left(t, m.id, false)
+		m.w.gangGone(t, x)
 	}
 	m.tasks = map[wire.Task]*run{}
 }
@@ -264,6 +265,10 @@
 			if x == nil || x.try != o.Try || x.phase == wire.Exited {
 				continue
 			}
+			if m.w.truths[t.Job].Spec.Gang() {
+				m.haltGang(t, x, o.WindDown)
+				continue
+			}
 			x.saved = x.phase == wire.Active && o.WindDown != nil && *o.WindDown >= m.w.truths[t.Job].Spec.SnapshotS && m.w.truths[t.Job].Spec.SnapshotEveryS > 0
 			if m.save(t, x, o.WindDown) {
 				continue
@@ -294,6 +299,10 @@
 	case old != nil && old.phase != wire.Exited:
 		return // busy: the running attempt stays listed
 	}
+	if m.refuses() {
+		refuse(wire.CauseFull)
+		return
+	}
 	cpus, ram := m.flavor.CPUs, m.flavor.RAM
 	for o, r := range m.tasks {
 		if r.phase != wire.Exited {
@@ -309,7 +318,7 @@
 	m.changed()
 	fetch := time.Duration(0)
 	if !m.cached[truth.Spec.Bundle] {
-		fetch = time.Duration(truth.Spec.ImageGB / m.flavor.PullGBPerS * float64(time.Second))
+		fetch = time.Duration(truth.Spec.ImageGB / m.flavor.PullGBPerS / m.w.speedOf(m.id) * float64(time.Second))
 	}
 	m.w.spawn(func() {
 		m.work(ctx, fetch)
@@ -321,6 +330,12 @@
 		}
 		m.cached[truth.Spec.Bundle] = true
 		x.phase = wire.Active
+		if truth.Spec.Gang() {
+			m.w.check.Started(t, Place{m.id, m.kit, m.zone, m.spot}, time.Now())
+			m.join(t, x)
+			m.w.mu.Unlock()
+			return
+		}
 		m.w.check.Started(t, Place{m.id, m.kit, m.zone, m.spot}, time.Now())
 		m.changed()
 		sick := m.sick || truth.Fails
@@ -356,5 +371,6 @@
 		m.w.check.Failed(t, m.id)
 	}
 	x.phase, x.cause = wire.Exited, c
+	m.w.gangGone(t, x)
 	m.changed()
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -54,6 +54,7 @@
 	servers  []*http.Server
 	wg       sync.WaitGroup
 	odd      odd
+	gangs    gangs
 
 	cutZone     wire.Zone
 	parted      [2]wire.Zone // zones that can't reach each other; empty: none
@@ -96,7 +97,7 @@
 	return config.Settings{
 		Size: 3, Zones: []wire.Zone{"a", "b"}, ClockOffMs: 250,
 		Teams:   []config.Team{{Name: "red", CPUs: 16, CPUsMax: 40}, {Name: "blue", CPUs: 16}},
-		Workers: config.Workers{ReportS: 2, LeaseS: 16, CancelS: 41},
+		Workers: config.Workers{ReportS: 2, LeaseS: 16, CancelS: 41, GangWaitS: 45, GangPeerS: 8},
 		State:   config.State{RPS: 200, WriteRPS: 50, ValueKB: 16, TxnOps: 12},
 		Cloud:   config.Cloud{RPS: 6, ListLagS: 4},
 		Limits:  config.Limits{Cores: 0.2, MemoryMB: 98, FDLimit: 900},
@@ -109,7 +110,7 @@
 func GasSettings() config.Settings {
 	s := DefaultSettings()
 	s.Zones = []wire.Zone{"a", "b", "c"}
-	s.Workers = config.Workers{ReportS: 4, LeaseS: 22, CancelS: 47}
+	s.Workers = config.Workers{ReportS: 4, LeaseS: 22, CancelS: 47, GangWaitS: 45, GangPeerS: 8}
 	s.State = config.State{RPS: 80, WriteRPS: 25, ValueKB: 4, TxnOps: 8}
 	s.Cloud = config.Cloud{RPS: 10, ListLagS: 6}
 	return s
@@ -550,8 +551,9 @@
 	delete(w.machines, id)
 	w.capacity[offer(m.kit, m.zone, m.spot)]++
 	m.cancel()
-	for t := range m.tasks {
+	for t, x := range m.tasks {
 		w.check.Left(t, id, false)
+		w.gangGone(t, x)
 	}
 	m.tasks = map[wire.Task]*run{}
 	m.dead = true
--- a/world_test.go
+++ b/world_test.go
@@ -733,6 +733,8 @@
 			}
 			return m
 		}
+		over := gang(3, 21, 10)
+		gangOver := standin.Submission(over.Spec) // 42 CPUs of 40
 		cases := []struct {
 			name, method, path string
 			body               any
@@ -746,7 +748,8 @@
 			{"no parts", "POST", "/v1/jobs", with("parts", 0), 400},
 			{"too many parts", "POST", "/v1/jobs", with("parts", 100001), 400},
 			{"negative", "POST", "/v1/jobs", with("ramGb", -1.0), 400},
-			{"unknown shape", "POST", "/v1/jobs", with("shape", "ensemble"), 400},
+			{"unknown shape", "POST", "/v1/jobs", with("shape", "choir"), 400},
+			{"a gang over the limit", "POST", "/v1/jobs", gangOver, 422},
 			{"unknown urgency", "POST", "/v1/jobs", with("urgency", "now"), 400},
 			{"malformed id", "POST", "/v1/jobs", with("nameId", "job-1"), 400},
 			{"unknown team", "POST", "/v1/jobs", with("owner", "green"), 422},
