--- a/gang_test.go
+++ b/gang_test.go
@@ -139,6 +139,13 @@
 	}
 }
 
+// uneven makes machines fetch at different speeds, also those yet to come.
+func uneven(w *standin.World) {
+	for i := range 40 {
+		w.SlowMachine(wire.MachineID(fmt.Sprintf("n-%06d", i)), 1/(1+0.5*float64(i%6)))
+	}
+}
+
 // The leader ends at each step between a gang's record and its start, and in its
 // orderly stop: no half is left, and it starts soon.
 func TestGangLosesTheLeader(t *testing.T) {
@@ -165,16 +172,14 @@
 					w.Submit(warm, 0)
 					at(30 * time.Second)
 					if name == "first waiting" {
-						for i, id := range w.All() {
-							w.SlowMachine(id, 1/(1+0.5*float64(i)))
-						}
+						uneven(w)
 					}
 					if name == "recorded" || name == "first launched" {
 						w.LagCommands(standin.Lag{Command: 300 * time.Millisecond})
 						l := w.Leader()
 						if name == "first launched" { // one of the machines gets its command later
-							for i, id := range w.All() {
-								w.Net.SlowLink(standin.NodeIP(l), w.IP(id), time.Duration(i)*400*time.Millisecond)
+							for i := range 40 { // also those that are yet to come
+								w.Net.SlowLink(standin.NodeIP(l), fmt.Sprintf("10.1.0.%d", i+1), time.Duration(i%6)*500*time.Millisecond)
 							}
 						}
 					}
@@ -220,6 +225,9 @@
 				l := w.Leader()
 				if on := w.Members(j.Spec.ID); len(on) < 2 {
 					t.Fatalf("all on %v", on)
+				} else if how == "leader ends at the first halt" {
+					w.Net.Hold(standin.NodeIP(l), w.IP(on[1]), true)
+					defer w.Net.Hold(standin.NodeIP(l), w.IP(on[1]), false)
 				} else if how != "quiet" {
 					w.Net.SlowLink(standin.NodeIP(l), w.IP(on[1]), 2500*time.Millisecond)
 				}
@@ -288,9 +296,7 @@
 				at(2 * time.Second)
 				w.Submit(warm, 0)
 				at(30 * time.Second)
-				for i, id := range w.All() {
-					w.SlowMachine(id, 1/(1+0.5*float64(i)))
-				}
+				uneven(w)
 				w.Submit(j, 0)
 				time.Sleep(time.Second)
 				if name == "saving" {
