--- /dev/null
+++ b/internal/standin/gang_test.go
@@ -0,0 +1,270 @@
+package standin
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lilaclead/internal/wire"
+)
+
+func ensemble(id wire.JobID, parts int) wire.Spec {
+	return wire.Spec{ID: id, Lane: "clash", Owner: "red", Shape: wire.Ensemble, Urgency: wire.Urgent, Parts: parts, CPUs: 2, RAM: 4, Bundle: "img", ImageGB: 1,
+		SamePlace: true, SnapshotEveryS: 20, SnapshotS: 2, Expected: 50}
+}
+
+// Each check that gangs brought is broken here once, deliberately.
+func TestEveryGangCheckCanBreak(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	here, there := Place{Machine: "n-1", Kit: "c4", Zone: "a"}, Place{Machine: "n-2", Kit: "c4", Zone: "b"}
+	task := func(i int) wire.Task { return wire.Task{Job: "req-000001", Index: i} }
+	whole := func(c *Checker) {
+		for i := range 2 {
+			c.Started(task(i), here, t0)
+		}
+	}
+	big := ensemble("req-000002", 6)
+	cases := map[string]struct {
+		rule Rule
+		do   func(c *Checker)
+	}{
+		"runs by half":                       {HalfRun, func(c *Checker) { c.Started(task(0), here, t0); c.GangBegan("req-000001", t0) }},
+		"waits in another zone":              {WrongPlace, func(c *Checker) { c.Started(task(0), here, t0); c.Started(task(1), there, t0) }},
+		"waits while an older attempt is on": {RanTwice, func(c *Checker) { c.Started(task(0), here, t0); c.Started(task(0), there, t0) }},
+		"waits over the limit": {Quota, func(c *Checker) {
+			c.Limits["red"] = Limit{CPUs: 3}
+			whole(c)
+		}},
+		"called done before its end": {NotDone, func(c *Checker) {
+			whole(c)
+			c.GangBegan("req-000001", t0)
+			c.Told("req-000001", wire.Done, t0)
+		}},
+		"waits after a cancellation": {RanCancelled, func(c *Checker) {
+			c.CancelAsked("req-000001")
+			c.Told("req-000001", wire.Cancelled, t0)
+			c.Started(task(0), here, t0.Add(11*time.Second))
+		}},
+		"accepted over the limit": {AcceptedWrongly, func(c *Checker) { c.Submitted(big); c.Accepted("req-000002", t0) }},
+		"refused within the limit": {RefusedWrongly, func(c *Checker) {
+			c.Submitted(ensemble("req-000003", 5))
+			c.Refused("req-000003", 422, t0)
+		}},
+		"never runs whole": {Unserved, func(c *Checker) {
+			c.Accepted("req-000001", t0)
+			whole(c)
+			c.End(t0.Add(5 * time.Minute))
+		}},
+		"left waiting beside room": {LeftWaiting, func(c *Checker) {
+			c.Accepted("req-000001", t0)
+			r := Room{Place: here, Open: true, CPUs: 4, RAM: 16, ImageRoom: 20}
+			for s := range 200 {
+				c.Quiet(t0, true)
+				c.Survey([]Room{r}, t0.Add(time.Duration(s)*time.Second))
+			}
+		}},
+	}
+	for name, k := range cases {
+		c := NewChecker(10*time.Second, map[wire.TeamID]Limit{"red": {CPUs: 10}})
+		c.Flavors = []wire.Flavor{{Name: "c4", CPUs: 4, RAM: 16, LocalGB: 20, Sites: []wire.Zone{"a", "b"}}}
+		c.Submitted(ensemble("req-000001", 2))
+		k.do(c)
+		found := false
+		for _, b := range c.Breaks {
+			found = found || b.Rule == k.rule
+		}
+		if !found {
+			t.Errorf("%s: noted %v, want %s", name, c.Breaks, k.rule)
+		}
+	}
+}
+
+// What breaks no rule of gangs must not be noted.
+func TestWhatGangsAreAllowed(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	room := func(z wire.Zone, cpus float64) Room {
+		return Room{Place: Place{Machine: wire.MachineID("n-" + string(z)), Kit: "c4", Zone: z}, Open: true, CPUs: cpus, RAM: 16, ImageRoom: 20}
+	}
+	cases := map[string][]Room{
+		"room in two zones for one place": {room("a", 2), room("b", 2)},
+		"room for half of it":             {room("a", 2)},
+		"an attempt is there":             {func() Room { r := room("a", 4); r.Tasks = []wire.Task{{Job: "req-000001"}}; return r }()},
+	}
+	for name, rooms := range cases {
+		c := NewChecker(10*time.Second, map[wire.TeamID]Limit{"red": {CPUs: 10}})
+		c.Submitted(ensemble("req-000001", 2))
+		c.Accepted("req-000001", t0)
+		for s := range 200 {
+			c.Quiet(t0, true)
+			c.Survey(rooms, t0.Add(time.Duration(s)*time.Second))
+		}
+		if len(c.Breaks) > 0 {
+			t.Errorf("%s: noted %v", name, c.Breaks)
+		}
+	}
+}
+
+// yard is some machines without controllers, whose workers are told what to do.
+func yard(t *testing.T, n int, do func(w *World, ms []*worker, order func(i int, o ...wire.Order))) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		set := DefaultSettings()
+		set.Size = 1
+		w := NewWorld(ctx, set, 1, nil, nil)
+		var ms []*worker
+		w.mu.Lock()
+		for range n {
+			ms = append(ms, w.machines[w.boot("c4", "a", false, 0)])
+		}
+		w.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+		do(w, ms, func(i int, o ...wire.Order) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			ms[i].answered = time.Now().Add(time.Hour) // nobody answers here
+			ms[i].execute(o)
+		})
+		cancel()
+		w.Close()
+	})
+}
+
+func launch(i int, try wire.Attempt) wire.Order {
+	return wire.Order{Verb: wire.Launch, Part: wire.Task{Job: "req-000001", Index: i}.String(), Try: try}
+}
+
+func halt(i int, try wire.Attempt, windDown wire.Seconds) wire.Order {
+	return wire.Order{Verb: wire.Halt, Part: wire.Task{Job: "req-000001", Index: i}.String(), Try: try, WindDown: &windDown}
+}
+
+// The workers do with gangs what the page says.
+func TestWorkersRunGangs(t *testing.T) {
+	const s = time.Second
+	all := func(order func(int, ...wire.Order), n int, try wire.Attempt) {
+		for i := range n {
+			order(i, launch(i, try))
+		}
+	}
+	cases := map[string]func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(i int, p wire.Phase, c wire.Cause, saved bool)){
+		"start and end together at the slowest speed": func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(int, wire.Phase, wire.Cause, bool)) {
+			w.SlowMachine(ms[1].id, 0.5)
+			all(order, 3, 1)
+			time.Sleep(1500 * time.Millisecond)
+			is(0, wire.Waiting, "", false)
+			is(1, wire.Pulling, "", false)
+			time.Sleep(s)
+			is(0, wire.Active, "", false)
+			time.Sleep(98 * s)
+			is(2, wire.Active, "", false)
+			time.Sleep(3 * s)
+			for i := range 3 {
+				is(i, wire.Exited, wire.CauseDone, false)
+			}
+		},
+		"alone": func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(int, wire.Phase, wire.Cause, bool)) {
+			all(order, 2, 1)
+			time.Sleep(45 * s)
+			is(0, wire.Waiting, "", false)
+			time.Sleep(3 * s)
+			is(0, wire.Exited, wire.CauseAlone, false)
+		},
+		"a replacement completes it, another attempt does not": func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(int, wire.Phase, wire.Cause, bool)) {
+			all(order, 2, 1)
+			order(2, launch(2, 2))
+			time.Sleep(5 * s)
+			is(0, wire.Waiting, "", false)
+			is(2, wire.Waiting, "", false)
+			order(2, halt(2, 2, 10), launch(2, 1))
+			time.Sleep(2 * s)
+			is(0, wire.Active, "", false)
+		},
+		"a loss": func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(int, wire.Phase, wire.Cause, bool)) {
+			all(order, 3, 1)
+			time.Sleep(32 * s)
+			w.TakeMachine(ms[0].id)
+			is(1, wire.Active, "", false)
+			time.Sleep(9 * s)
+			is(1, wire.Exited, wire.CauseMatesGone, false)
+			if g := w.Gang("req-000001"); g.Saved != 20 {
+				t.Errorf("%+v, want 20 s kept", g)
+			}
+		},
+		"a hung machine": func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(int, wire.Phase, wire.Cause, bool)) {
+			all(order, 3, 1)
+			time.Sleep(10 * s)
+			w.Hang(true, ms[0].id)
+			time.Sleep(13 * s)
+			is(1, wire.Exited, wire.CauseMatesGone, false)
+			is(0, wire.Active, "", false)
+			w.Hang(false, ms[0].id)
+			time.Sleep(s)
+			is(0, wire.Exited, wire.CauseMatesGone, false)
+		},
+		"an orderly stop": func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(int, wire.Phase, wire.Cause, bool)) {
+			all(order, 3, 1)
+			time.Sleep(11 * s)
+			order(0, halt(0, 1, 2))
+			time.Sleep(6 * s)
+			is(0, wire.Saving, "", false)
+			order(1, halt(1, 1, 2))
+			order(2, halt(2, 1, 2))
+			time.Sleep(3 * s)
+			for i := range 3 {
+				is(i, wire.Exited, wire.CauseStopped, true)
+			}
+			all(order, 3, 2) // goes on from there
+			time.Sleep(35 * s)
+			is(0, wire.Active, "", false)
+			time.Sleep(6 * s)
+			is(0, wire.Exited, wire.CauseDone, false)
+		},
+		"told too late": func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(int, wire.Phase, wire.Cause, bool)) {
+			all(order, 3, 1)
+			time.Sleep(11 * s)
+			order(0, halt(0, 1, 2))
+			order(1, halt(1, 1, 2))
+			time.Sleep(9 * s)
+			is(2, wire.Exited, wire.CauseMatesGone, false)
+			if g := w.Gang("req-000001"); g.Saved != 0 || g.Falls != 1 {
+				t.Errorf("%+v, want nothing kept", g)
+			}
+		},
+		"too little grace": func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(int, wire.Phase, wire.Cause, bool)) {
+			all(order, 3, 1)
+			time.Sleep(11 * s)
+			order(0, halt(0, 1, 2))
+			order(1, halt(1, 1, 1))
+			is(1, wire.Exited, wire.CauseStopped, false)
+			time.Sleep(9 * s)
+			is(2, wire.Exited, wire.CauseMatesGone, false)
+			if g := w.Gang("req-000001"); g.Saved != 0 || g.Falls != 1 {
+				t.Errorf("%+v, want nothing kept", g)
+			}
+		},
+		"stopped while it waits": func(t *testing.T, w *World, ms []*worker, order func(int, ...wire.Order), is func(int, wire.Phase, wire.Cause, bool)) {
+			all(order, 2, 1)
+			time.Sleep(3 * s)
+			order(0, halt(0, 1, 30))
+			is(0, wire.Exited, wire.CauseStopped, false)
+			is(1, wire.Waiting, "", false)
+		},
+	}
+	for name, do := range cases {
+		t.Run(name, func(t *testing.T) {
+			yard(t, 3, func(w *World, ms []*worker, order func(int, ...wire.Order)) {
+				truth := Truth{RunS: 50, Spec: ensemble("req-000001", 3)}
+				w.Know(truth)
+				do(t, w, ms, order, func(i int, p wire.Phase, c wire.Cause, saved bool) {
+					t.Helper()
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					x := ms[i].tasks[wire.Task{Job: "req-000001", Index: i}]
+					if x == nil || x.phase != p || x.cause != c || x.saved != saved {
+						t.Errorf("task %d is %+v, want %s %s %v", i, x, p, c, saved)
+					}
+				})
+			})
+		})
+	}
+}
