A gang that lingers may use room kept for replicas

Cause: choosing machines for a whole gang did not look at Lingers, so with the cloud sold out a gang waited for ever beside room that is kept for the next replicas. Ruled out: the team's limit, claims (none), the gang's size.

--- a/gang_test.go
+++ b/gang_test.go
@@ -524,3 +524,25 @@
 		})
 	}
 }
+
+// With the cloud sold out, the room that is free is kept for the next replicas. A
+// gang that fits into it must not wait for ever, as an array must not.
+func TestGangInKeptRoom(t *testing.T) {
+	playAs(t, standin.DefaultSettings(), 810, func(w *standin.World, at func(time.Duration)) {
+		s, j := service(1, 4), gang(2, 3, 20)
+		s.Spec.Apart, s.Spec.Kits, s.Spec.Site = false, []wire.Kit{"c16"}, "a"
+		j.Spec.CPUs, j.Spec.Urgency, j.Spec.Kits, j.Spec.Site = 4, wire.Standard, s.Spec.Kits, "a" // 12 of 16 CPUs, 4 used, 2 kept
+		at(2 * time.Second)
+		w.Submit(s, 0)
+		at(40 * time.Second)
+		mustRun(t, w, s, "at first")
+		if n := len(w.Members(s.Spec.ID)); n != 1 {
+			t.Fatalf("%d machines", n)
+		}
+		w.NoMore()
+		w.Submit(j, 0)
+		at(240 * time.Second)
+		mustFinish(t, w, j)
+		mustRun(t, w, s, "at last")
+	})
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -458,10 +458,10 @@
 		var seats []seat
 		for _, mi := range g {
 			m := &p.s.Machines[mi]
-			if !take.Fits(m.Free) || !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) || spoils(p.s, m, take) || m.claimed(j, take) {
+			if !take.Fits(m.Free) || !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) || spoils(p.s, m, take) && !j.Lingers || m.claimed(j, take) {
 				continue
 			}
-			st := seat{mi, without, m.Cordoned || j.Avoid[m.ID], fit(j, m, take)}
+			st := seat{mi, without, m.Cordoned || j.Avoid[m.ID] || spoils(p.s, m, take), fit(j, m, take)}
 			if m.Images[j.Spec.Bundle] == Present {
 				st.class = withImage
 			}
@@ -482,7 +482,7 @@
 		for _, st := range seats {
 			m := p.s.Machines[st.mi] // a copy, from which units are taken
 			first := true
-			for len(picks) < j.Pending && take.Fits(m.Free) && !spoils(p.s, &m, take) && !m.claimed(j, take) && j.ZoneHeld[m.Zone]+inZone[m.Zone] < j.Spec.ZoneCap() {
+			for len(picks) < j.Pending && take.Fits(m.Free) && (j.Lingers || !spoils(p.s, &m, take)) && !m.claimed(j, take) && j.ZoneHeld[m.Zone]+inZone[m.Zone] < j.Spec.ZoneCap() {
 				m.Free = m.Free.Minus(take)
 				m.used(j.Spec.ID)
 				inZone[m.Zone]++
