--- a/gang_test.go
+++ b/gang_test.go
@@ -546,3 +546,144 @@
 		mustRun(t, w, s, "at last")
 	})
 }
+
+// An urgent gang needs several whole machines, some of which are free at once and
+// some only when their tasks have saved. What is free first must be kept until all
+// of it is.
+func TestGangWaitsForThoseWhoSave(t *testing.T) {
+	playAs(t, standin.DefaultSettings(), 811, func(w *standin.World, at func(time.Duration)) {
+		w.SlowSaves()
+		saves, j := array(1, 2, 300), gang(3, 4, 20)
+		for _, s := range []*wire.Spec{&saves.Spec, &j.Spec} {
+			s.CPUs, s.RAM, s.Kits, s.Standby, s.Site = 4, 8, []wire.Kit{"c4"}, false, "a"
+		}
+		saves.Spec.Owner = "blue"
+		saves.Spec.SnapshotEveryS, saves.Spec.SnapshotS = 20, 14
+		at(2 * time.Second)
+		w.Submit(saves, 0)
+		quick := func(n int) {
+			a := array(n, 6, 25)
+			a.Spec.CPUs, a.Spec.RAM, a.Spec.Kits, a.Spec.Standby, a.Spec.Site, a.Spec.Owner = 4, 8, j.Spec.Kits, false, "a", "blue"
+			w.Submit(a, 0)
+		}
+		quick(100)
+		at(30 * time.Second)
+		w.NoMore()
+		for n := range 20 {
+			quick(101 + n)
+		}
+		at(60 * time.Second)
+		w.Submit(j, 0)
+		w.Checked(func(c *standin.Checker) {
+			if c.On(saves.Spec.ID) != 2 {
+				t.Errorf("%d of 2 tasks that save", c.On(saves.Spec.ID))
+			}
+		})
+		at(250 * time.Second)
+		mustFinish(t, w, j)
+		w.Checked(func(c *standin.Checker) {
+			d, ok := c.Waited(j.Spec.ID)
+			t.Logf("began after %v, %d started again", d, c.Again())
+			if !ok || d > 40*time.Second {
+				t.Errorf("began after %v, %v", d, ok)
+			}
+		})
+	})
+}
+
+// A spot notice is in the first report that a new leader hears of a gang: it
+// stops all of it in order.
+func TestGangNoticeToANewLeader(t *testing.T) {
+	playBoth(t, 812, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		j := gang(1, 4, 60)
+		j.Spec.Standby, j.Spec.Kits = true, []wire.Kit{"c4"}
+		at(2 * time.Second)
+		w.Submit(j, 0)
+		runs(t, w, j, 60*time.Second)
+		time.Sleep(33 * time.Second)
+		l := w.Leader()
+		w.Kill(l)
+		for _, id := range w.Members(j.Spec.ID) {
+			w.Notice(id, 25*time.Second)
+		}
+		time.Sleep(4 * time.Second)
+		w.Up(l)
+		shows(t, 60*time.Second, "starts again", func() bool { return w.Gang(j.Spec.ID).Starts == 2 })
+		if g := w.Gang(j.Spec.ID); g.Saves != 1 || g.Falls != 0 || g.Saved < 33 {
+			t.Errorf("%+v, want one orderly stop", g)
+		}
+		time.Sleep(60 * time.Second)
+		mustFinish(t, w, j)
+	})
+}
+
+// A spot notice comes in an outage of the state service.
+func TestGangNoticeInAnOutage(t *testing.T) {
+	playBoth(t, 813, func(t *testing.T, w *standin.World, at func(time.Duration)) {
+		j := gang(1, 4, 80)
+		j.Spec.Standby, j.Spec.Kits = true, []wire.Kit{"c4"}
+		at(2 * time.Second)
+		w.Submit(j, 0)
+		runs(t, w, j, 60*time.Second)
+		time.Sleep(30 * time.Second)
+		w.State.Outage(true)
+		time.Sleep(5 * time.Second)
+		w.Notice(w.Members(j.Spec.ID)[0], 20*time.Second)
+		time.Sleep(25 * time.Second)
+		t.Logf("in the outage %+v", w.Gang(j.Spec.ID))
+		w.State.Outage(false)
+		shows(t, 60*time.Second, "starts again", func() bool { return w.Gang(j.Spec.ID).Starts == 2 })
+		time.Sleep(90 * time.Second)
+		mustFinish(t, w, j)
+	})
+}
+
+// Cancelling races the end of gangs.
+func TestGangCancelRacesCompletion(t *testing.T) {
+	play(t, 814, func(w *standin.World, at func(time.Duration)) {
+		at(2 * time.Second)
+		for n := range 14 {
+			j := gang(100+n, 2, 10)
+			j.Spec.CPUs, j.Spec.RAM = 1, 3
+			w.Submit(j, time.Duration(18+n)*time.Second)
+		}
+		at(150 * time.Second)
+		w.Checked(func(c *standin.Checker) {
+			done, cancelled := c.Finished()
+			if done+cancelled != 14 || done == 0 || cancelled == 0 {
+				t.Errorf("%d done, %d cancelled of 14", done, cancelled)
+			}
+		})
+	})
+}
+
+// One member's machine fails everything: the gang runs elsewhere. A gang that
+// fails everywhere condemns no machines.
+func TestGangFails(t *testing.T) {
+	play(t, 815, func(w *standin.World, at func(time.Duration)) {
+		good, bad := gang(1, 4, 40), gang(2, 4, 15)
+		good.Spec.Kits = []wire.Kit{"c4"}
+		bad.Fails = true
+		warm := array(9, 10, 15)
+		warm.Spec.Kits, warm.Spec.Standby = good.Spec.Kits, false
+		at(2 * time.Second)
+		w.Submit(warm, 0)
+		at(25 * time.Second)
+		w.Submit(good, 0)
+		shows(t, 30*time.Second, "fetches", func() bool { return w.Gang(good.Spec.ID).Pulling > 0 })
+		w.Sick(w.Members(good.Spec.ID)[0])
+		at(130 * time.Second)
+		mustFinish(t, w, good)
+		t.Logf("%+v", w.Gang(good.Spec.ID))
+		before := w.Rented()
+		w.Submit(bad, 90*time.Second)
+		at(230 * time.Second)
+		if n := w.Rented() - before; n > 8 {
+			t.Errorf("a faulty gang cost %d machines", n)
+		}
+		after := gang(3, 4, 10)
+		w.Submit(after, 0)
+		at(290 * time.Second)
+		mustFinish(t, w, after)
+	})
+}
