--- a/gang_test.go
+++ b/gang_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"lilaclead/internal/config"
 	"lilaclead/internal/standin"
 	"lilaclead/internal/wire"
 )
@@ -439,9 +440,9 @@
 	for seed := range uint64(max(6, most)) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 3))
-			playAs(t, sized(3+2*int(seed%2)), 820+seed, func(w *standin.World, at func(time.Duration)) {
-				seconds := within(rng)
-				size := 3 + 2*int(seed%2)
+			set := []config.Settings{sized(3), sized(5), standin.GasSettings()}[seed%3]
+			playAs(t, set, 820+seed, func(w *standin.World, at func(time.Duration)) {
+				seconds, size := within(rng), set.Size
 				var all []standin.Truth
 				at(2 * time.Second)
 				w.Submit(service(900, 3), 0)
@@ -494,7 +495,7 @@
 					case 7:
 						w.State.LoseAnswers(1)
 					case 8:
-						z := []wire.Zone{"a", "b"}[rng.IntN(2)]
+						z := set.Zones[rng.IntN(len(set.Zones))]
 						w.CutZone(z, true)
 						time.Sleep(seconds(40))
 						w.CutZone(z, false)
