Part of its team's limit is kept for a gang that waits long

Cause: a gang needs much of the limit at once, and while its team's arrays wait they take each part that becomes free. Ruled out: room on machines (the cloud had plenty), claims (none is made beyond the limit).

--- a/gang_test.go
+++ b/gang_test.go
@@ -688,3 +688,40 @@
 		mustFinish(t, w, after)
 	})
 }
+
+// A team's arrays keep it at its limit for ever, with room enough. Its gangs, which
+// need much of the limit at once, must begin within four minutes all the same.
+func TestGangUnderItsTeamsLimit(t *testing.T) {
+	for _, u := range []wire.Urgency{wire.Urgent, wire.Standard, wire.BestEffort} {
+		t.Run(string(u), func(t *testing.T) {
+			play(t, 816, func(w *standin.World, at func(time.Duration)) {
+				j := gang(1, 8, 25)
+				j.Spec.SamePlace, j.Spec.Urgency = false, u
+				j.Spec.RAM = 4
+				at(2 * time.Second)
+				for n := range 6 {
+					w.Submit(array(100+n, 8, 20), 0)
+				}
+				at(40 * time.Second)
+				w.Checked(func(c *standin.Checker) {
+					if c.Uses("red") < 38 {
+						t.Errorf("red uses %v of 40", c.Uses("red"))
+					}
+				})
+				w.Submit(j, 0)
+				for n := range 52 {
+					at(time.Duration(41+5*n) * time.Second)
+					w.Submit(array(200+n, 8, 25), 0)
+				}
+				at(320 * time.Second)
+				w.Checked(func(c *standin.Checker) {
+					d, ok := c.Waited(j.Spec.ID)
+					t.Logf("began after %v, %v", d, ok)
+					if !ok || d > 4*time.Minute {
+						t.Errorf("began after %v, %v", d, ok)
+					}
+				})
+			})
+		})
+	}
+}
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -398,10 +398,34 @@
 		s.Jobs = append(s.Jobs, pj)
 		kept = append(kept, j)
 	}
+	t.keepLimits(s, kept, now)
 	s.Spare, s.SpareTakes = t.spare(v.SpareUnits)
 	return s, ms, kept
 }
 
+// keepLimitAfter is how long a gang waits before its part of its team's limit is
+// kept for it. Most start at once, or as soon as there is room.
+const keepLimitAfter = 30 * time.Second
+
+// keepLimits keeps part of each team's limit for the gang of it that comes first
+// among those that have waited long. After two minutes even higher priorities,
+// but for services, leave it alone.
+func (t *term) keepLimits(s *placement.Snapshot, js []*job, now time.Time) {
+	for _, j := range js { // the oldest first
+		team := s.Teams[j.spec.Owner]
+		if team == nil || !j.spec.Gang() || now.Sub(later(later(j.at, j.moved), t.born)) < keepLimitAfter {
+			continue
+		}
+		rank := j.spec.Urgency.Rank()
+		if t.starves(j, now) {
+			rank = wire.Prod.Rank()
+		}
+		if team.KeptFor == "" || rank > team.KeptRank {
+			team.Kept, team.KeptFor, team.KeptRank = placement.Of(&j.spec).Times(float64(j.spec.Parts)), j.spec.ID, rank
+		}
+	}
+}
+
 // usable tells whether a machine may take a launch now.
 func (t *term) usable(m *machine, now time.Time) bool {
 	return !m.booting && !m.upAt.IsZero() && m.drain == "" && !m.releasing && m.baton >= t.first && m.probes == 0 && m.hearing.deaf.IsZero() && !t.behindCut(m, now) && !t.mute(m, now) &&
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -156,6 +156,12 @@
 // Team with what its tasks take and its limit; a limit of 0 is none.
 type Team struct {
 	Used, Limit Res
+	// Kept is what is kept of the limit for a gang of the team that has waited
+	// long, KeptFor: tasks of arrays and gangs up to KeptRank leave it alone, or
+	// they would take for ever what the gang needs all at once.
+	Kept     Res
+	KeptFor  wire.JobID
+	KeptRank int
 }
 
 // Snapshot is all that a round looks at.
@@ -223,9 +229,13 @@
 	return j.ZoneHeld[z] < j.Spec.ZoneCap()
 }
 
-// room tells whether the team's limit allows one more task.
-func (t *Team) room(take Res) bool {
+// room tells whether the team's limit allows so much more for the
+// job.
+func (t *Team) room(j *Job, take Res) bool {
 	u := t.Used.Plus(take)
+	if t.KeptFor != "" && t.KeptFor != j.Spec.ID && !j.Spec.Service() && j.Spec.Urgency.Rank() <= t.KeptRank {
+		u = u.Plus(t.Kept)
+	}
 	return (t.Limit.CPUs == 0 || u.CPUs <= t.Limit.CPUs+wire.Eps) &&
 		(t.Limit.Cards == 0 || u.Cards <= t.Limit.Cards+wire.Eps)
 }
@@ -311,7 +321,7 @@
 		take := Of(j.Spec)
 		if j.Spec.Gang() {
 			stale := slices.ContainsFunc(best[top].picks, func(mi int) bool { return changed[mi] >= best[top].step })
-			if mi == unknown || stale || !s.Teams[j.Spec.Owner].room(take.Times(float64(j.Pending))) {
+			if mi == unknown || stale || !s.Teams[j.Spec.Owner].room(j, take.Times(float64(j.Pending))) {
 				best[top] = p.chooseWhole(ji)
 				best[top].step = step
 				continue
@@ -323,9 +333,12 @@
 			}
 			j.Pending = 0
 			queue[top].left = 0
+			if team := s.Teams[j.Spec.Owner]; team.KeptFor == j.Spec.ID {
+				team.KeptFor = ""
+			}
 			continue
 		}
-		if mi == unknown || changed[mi] >= best[top].step || !s.Teams[j.Spec.Owner].room(take) {
+		if mi == unknown || changed[mi] >= best[top].step || !s.Teams[j.Spec.Owner].room(j, take) {
 			best[top] = p.choose(ji)
 			best[top].step = step
 			continue
@@ -386,7 +399,7 @@
 func (p *pass) choose(ji int) choice {
 	j := &p.s.Jobs[ji]
 	take := Of(j.Spec)
-	if !p.s.Teams[j.Spec.Owner].room(take) {
+	if !p.s.Teams[j.Spec.Owner].room(j, take) {
 		return choice{machine: none}
 	}
 	best, bestScore := -1, 0.0
@@ -444,7 +457,7 @@
 	j := &p.s.Jobs[ji]
 	take := Of(j.Spec)
 	out := choice{machine: none}
-	if !p.s.Teams[j.Spec.Owner].room(take.Times(float64(j.Pending))) {
+	if !p.s.Teams[j.Spec.Owner].room(j, take.Times(float64(j.Pending))) {
 		return out
 	}
 	type seat struct {
@@ -599,7 +612,7 @@
 		j := &s.Jobs[ji]
 		take := Of(j.Spec)
 		if j.Spec.Gang() {
-			if s.Teams[j.Spec.Owner].room(take.Times(float64(j.Pending)).Plus(claimed[j.Spec.Owner][j.Spec.Urgency.Rank()])) {
+			if s.Teams[j.Spec.Owner].room(j, take.Times(float64(j.Pending)).Plus(claimed[j.Spec.Owner][j.Spec.Urgency.Rank()])) {
 				for _, mi := range clearWhole(s, j, take) {
 					halts, clears = clear1(s, j, take, mi, clearFor(&s.Machines[mi], j, take), halts, clears)
 				}
@@ -610,7 +623,7 @@
 			offers[mi] = clearFor(&s.Machines[mi], j, take)
 		}
 		for range min(j.Pending-j.Claims, 8) {
-			if !s.Teams[j.Spec.Owner].room(take.Plus(claimed[j.Spec.Owner][j.Spec.Urgency.Rank()])) {
+			if !s.Teams[j.Spec.Owner].room(j, take.Plus(claimed[j.Spec.Owner][j.Spec.Urgency.Rank()])) {
 				break
 			}
 			mi := -1
