--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -360,3 +360,37 @@
 		}
 	}
 }
+
+// A gang that lingers may use the room kept for replicas, and what is kept of its
+// team's limit is left alone by arrays up to its rank, not by services.
+func TestGangsAreNotPassedOver(t *testing.T) {
+	spec := func(id wire.JobID, shape wire.Shape, u wire.Urgency, parts int) *wire.Spec {
+		return &wire.Spec{ID: id, Owner: "red", Shape: shape, Urgency: u, Parts: parts, CPUs: 2, RAM: 1}
+	}
+	for name, k := range map[string]struct {
+		lingers bool
+		other   *wire.Spec
+		spare   int
+		free    float64
+		want    int // starts
+	}{
+		"kept room":                      {false, nil, 2, 8, 0},
+		"kept room after a while":        {true, nil, 2, 8, 4},
+		"the limit, against an array":    {true, spec("a", wire.Sweep, wire.Standard, 2), 0, 6, 0},
+		"the limit, against a service":   {true, spec("s", wire.Daemon, wire.Prod, 2), 0, 6, 2},
+		"the limit, against higher rank": {true, spec("u", wire.Sweep, wire.Urgent, 2), 0, 6, 2},
+	} {
+		s := &Snapshot{
+			Machines: []Machine{{ID: "m", Zone: "a", Total: Res{CPUs: 16, RAM: 16}, Free: Res{CPUs: k.free, RAM: 16}}},
+			Teams:    map[wire.TeamID]*Team{"red": {Limit: Res{CPUs: 9}, Kept: Res{CPUs: 8, RAM: 4}, KeptFor: "g", KeptRank: wire.Standard.Rank()}},
+			Factors:  Factors{Preferred: 1, Fallback: 0.5, WaitRaiseS: 30}, Spare: k.spare, SpareTakes: Res{CPUs: 1, RAM: 1},
+			Jobs: []Job{{Spec: spec("g", wire.Ensemble, wire.Standard, 4), Pending: 4, ZoneHeld: map[wire.Zone]int{}, Weight: 1, Lingers: k.lingers}},
+		}
+		if k.other != nil {
+			s.Jobs = append(s.Jobs, Job{Spec: k.other, Pending: k.other.Parts, ZoneHeld: map[wire.Zone]int{}, Weight: 1})
+		}
+		if n := len(Place(s).Starts); n != k.want {
+			t.Errorf("%s: %d starts, want %d", name, n, k.want)
+		}
+	}
+}
