--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -53,10 +53,30 @@
 			}
 		}
 	}
+	if len(res.Clears) > 0 {
+		t.gather()
+	}
 	t.roundTook = time.Since(now)
 	t.l.Metrics.Round(t.roundTook, len(res.Starts), len(res.Halts))
 }
 
+// gather keeps all the room that is being made for a gang until the last of it can
+// be free: it needs all of it at once, and what is free first would go to others.
+func (t *term) gather() {
+	last := map[wire.JobID]time.Time{}
+	each := func(f func(c *claim)) {
+		for m := range t.claimed {
+			for i := range m.claims {
+				if j := t.jobs[m.claims[i].Job]; j != nil && j.spec.Gang() {
+					f(&m.claims[i])
+				}
+			}
+		}
+	}
+	each(func(c *claim) { last[c.Job] = later(last[c.Job], c.until) })
+	each(func(c *claim) { c.until = last[c.Job] })
+}
+
 // attempt that holds a task; nil if none does.
 func (t *term) attempt(task wire.Task) *attempt {
 	j := t.jobs[task.Job]
@@ -281,7 +301,8 @@
 		u := s.Teams[j.spec.Owner]
 		return u != nil && (u.Used.CPUs > team.CPUs+wire.Eps || u.Used.Cards > team.GPUs+wire.Eps)
 	}
-	preempts := slices.ContainsFunc(js, func(j *job) bool { return placement.MayPreempt(&j.spec) })
+	// A gang that does not preempt waits for others to end, which are looked at too.
+	preempts := slices.ContainsFunc(js, func(j *job) bool { return placement.MayPreempt(&j.spec) || j.spec.Gang() })
 	claims := t.claims(now)
 	view := func(m *machine) placement.Machine {
 		pm := placement.Machine{ID: m.id, Kit: m.kit, Zone: m.zone, Spot: m.spot, Total: t.total(m), Free: t.free(m), Cordoned: m.cordoned,
@@ -377,10 +398,34 @@
 		s.Jobs = append(s.Jobs, pj)
 		kept = append(kept, j)
 	}
+	t.keepLimits(s, kept, now)
 	s.Spare, s.SpareTakes = t.spare(v.SpareUnits)
 	return s, ms, kept
 }
 
+// keepLimitAfter is how long a gang waits before its part of its team's limit is
+// kept for it. Most start at once, or as soon as there is room.
+const keepLimitAfter = 30 * time.Second
+
+// keepLimits keeps part of each team's limit for the gang of it that comes first
+// among those that have waited long. After two minutes even higher priorities,
+// but for services, leave it alone.
+func (t *term) keepLimits(s *placement.Snapshot, js []*job, now time.Time) {
+	for _, j := range js { // the oldest first
+		team := s.Teams[j.spec.Owner]
+		if team == nil || !j.spec.Gang() || now.Sub(later(later(j.at, j.moved), t.born)) < keepLimitAfter {
+			continue
+		}
+		rank := j.spec.Urgency.Rank()
+		if t.starves(j, now) {
+			rank = wire.Prod.Rank()
+		}
+		if team.KeptFor == "" || rank > team.KeptRank {
+			team.Kept, team.KeptFor, team.KeptRank = placement.Of(&j.spec).Times(float64(j.spec.Parts)), j.spec.ID, rank
+		}
+	}
+}
+
 // usable tells whether a machine may take a launch now.
 func (t *term) usable(m *machine, now time.Time) bool {
 	return !m.booting && !m.upAt.IsZero() && m.drain == "" && !m.releasing && m.baton >= t.first && m.probes == 0 && m.hearing.deaf.IsZero() && !t.behindCut(m, now) && !t.mute(m, now) &&
