placement: the slow model covers gangs and room that is claimed

A gang's step is the n Choose k tree evaluated over each set of machines that it may be spread over, its team's limit for the whole of it; the real pass is compared with it step by step.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -28,7 +28,19 @@
 	}
 	for {
 		best, bj, bm := 0.0, -1, -1
+		var bw []int // where all of a gang goes
 		for ji := range s.Jobs {
+			if j := &s.Jobs[ji]; j.Spec.Gang() {
+				if left[ji] != j.Spec.Parts || left[ji] == 0 {
+					continue
+				}
+				if u, where := slowWhole(s, ji); where != nil {
+					if g := u * j.Weight * (1 + j.WaitedS/max(1, s.Factors.WaitRaiseS)); g > best+1e-12 {
+						best, bj, bw = g, ji, where
+					}
+				}
+				continue
+			}
 			for mi := range s.Machines {
 				if left[ji] == 0 || !legal(s, ji, mi) {
 					continue
@@ -40,13 +52,22 @@
 				}
 				u := Unit(s.Factors).Value(utility.Grant{class: 1})
 				if g := u * j.Weight * (1 + j.WaitedS/max(1, s.Factors.WaitRaiseS)); g > best+1e-12 {
-					best, bj, bm = g, ji, mi
+					best, bj, bm, bw = g, ji, mi, nil
 				}
 			}
 		}
 		if bj < 0 {
 			return
 		}
+		if bw != nil {
+			for _, mi := range bw {
+				apply(s, bj, mi)
+			}
+			left[bj] = 0
+			starts[bj] += len(bw)
+			gains = append(gains, best)
+			continue
+		}
 		apply(s, bj, bm)
 		left[bj]--
 		starts[bj]++
@@ -54,6 +75,43 @@
 	}
 }
 
+// slowWhole evaluates the tree of a gang for all that can be had at once: the
+// machines with its image alone, then all, each of one zone where the job wants
+// that, one unit after the other until a unit is illegal. It returns the utility
+// of a unit, and where they go; nil if not all of it fits.
+func slowWhole(s *Snapshot, ji int) (unit float64, where []int) {
+	n := s.Jobs[ji].Spec.Parts
+	if sp := s.Jobs[ji].Spec; s.Teams[sp.Owner].Limit.CPUs > 0 && s.Teams[sp.Owner].Used.CPUs+float64(n)*sp.CPUs > s.Teams[sp.Owner].Limit.CPUs+wire.Eps {
+		return 0, nil
+	}
+	for _, class := range []utility.Class{withImage, without} {
+		for _, z := range []wire.Zone{"a", "b", ""} {
+			if (z == "") == s.Jobs[ji].Spec.SamePlace {
+				continue
+			}
+			here := clone(s)
+			var got []int
+			for mi := range here.Machines {
+				m := &here.Machines[mi]
+				if z != "" && m.Zone != z || class == withImage && m.Images[s.Jobs[ji].Spec.Bundle] != Present {
+					continue
+				}
+				for len(got) < n && legal(here, ji, mi) {
+					apply(here, ji, mi)
+					got = append(got, mi)
+				}
+			}
+			if len(got) < n {
+				continue
+			}
+			if u := Whole(s.Factors, n).Value(utility.Grant{class: n}) / float64(n); u > unit {
+				unit, where = u, got
+			}
+		}
+	}
+	return unit, where
+}
+
 // legal is the page's hard checks, written out once more.
 func legal(s *Snapshot, ji, mi int) bool {
 	j, m := &s.Jobs[ji], &s.Machines[mi]
@@ -62,6 +120,16 @@
 	if team.Limit.CPUs > 0 && team.Used.CPUs+sp.CPUs > team.Limit.CPUs+wire.Eps {
 		return false
 	}
+	// Nothing takes the room that is made for others of its rank or above.
+	left, claimed := m.Free.Plus(m.Stopping), false
+	for _, c := range m.Claims {
+		if c.Job != sp.ID && c.Rank >= sp.Urgency.Rank() {
+			left, claimed = left.Minus(c.Takes), true
+		}
+	}
+	if claimed && (sp.CPUs > left.CPUs+wire.Eps || sp.RAM > left.RAM+wire.Eps) {
+		return false
+	}
 	if sp.CPUs > m.Free.CPUs+wire.Eps || sp.Cards > m.Free.Cards+wire.Eps || sp.RAM > m.Free.RAM+wire.Eps {
 		return false
 	}
@@ -86,6 +154,12 @@
 	m.Free = m.Free.Minus(Of(j.Spec))
 	s.Teams[j.Spec.Owner].Used = s.Teams[j.Spec.Owner].Used.Plus(Of(j.Spec))
 	j.ZoneHeld[m.Zone]++
+	for i, c := range m.Claims {
+		if c.Job == j.Spec.ID {
+			m.Claims = slices.Delete(slices.Clone(m.Claims), i, i+1)
+			break
+		}
+	}
 }
 
 func clone(s *Snapshot) *Snapshot {
@@ -94,6 +168,7 @@
 	for i := range c.Machines {
 		c.Machines[i].Images = maps.Clone(s.Machines[i].Images)
 		c.Machines[i].Victims = slices.Clone(s.Machines[i].Victims)
+		c.Machines[i].Claims = slices.Clone(s.Machines[i].Claims)
 	}
 	c.Jobs = slices.Clone(s.Jobs)
 	for i := range c.Jobs {
@@ -128,7 +203,7 @@
 	for i := range rapid.IntRange(0, 5).Draw(t, "jobs") {
 		parts := rapid.IntRange(1, 7).Draw(t, "parts")
 		sp := &wire.Spec{ID: wire.JobID(fmt.Sprint("req-", i)), Owner: rapid.SampledFrom([]wire.TeamID{"red", "blue"}).Draw(t, "team"),
-			Shape: rapid.SampledFrom([]wire.Shape{wire.Sweep, wire.Daemon}).Draw(t, "shape"), Urgency: wire.Standard, Parts: parts,
+			Shape: rapid.SampledFrom([]wire.Shape{wire.Sweep, wire.Daemon, wire.Ensemble}).Draw(t, "shape"), Urgency: rapid.SampledFrom([]wire.Urgency{wire.Standard, wire.Urgent}).Draw(t, "urgency"), Parts: parts,
 			CPUs: float64(rapid.IntRange(1, 5).Draw(t, "take")), RAM: float64(rapid.IntRange(1, 9).Draw(t, "ram")), Bundle: wire.ImageID(fmt.Sprint("img-", i%3)), ImageGB: 1,
 			Apart: rapid.Bool().Draw(t, "apart"), SamePlace: rapid.IntRange(0, 3).Draw(t, "same") == 0, Standby: rapid.Bool().Draw(t, "standby")}
 		if rapid.IntRange(0, 3).Draw(t, "sited") == 0 {
@@ -138,13 +213,25 @@
 			sp.Kits = []wire.Kit{"c16"}
 		}
 		held := map[wire.Zone]int{}
-		if !sp.SamePlace && parts > 1 {
+		if !sp.SamePlace && parts > 1 && !sp.Gang() {
 			held["b"] = rapid.IntRange(0, 1).Draw(t, "held")
 		}
 		// Weights differ by job, so that the order of jobs is decided.
 		s.Jobs = append(s.Jobs, Job{Spec: sp, Pending: parts - held["b"], ZoneHeld: held,
 			WaitedS: float64(rapid.IntRange(0, 90).Draw(t, "waited")), Weight: 1 + 0.137*float64(i)})
 	}
+	for i := range s.Machines {
+		if m := &s.Machines[i]; rapid.IntRange(0, 3).Draw(t, "claimed") == 0 {
+			c := Claim{wire.JobID(fmt.Sprint("req-", rapid.IntRange(0, 5).Draw(t, "claimant"))), rapid.IntRange(1, 2).Draw(t, "rank"), Res{CPUs: float64(rapid.IntRange(1, 5).Draw(t, "claim")), RAM: 2}}
+			for j := range s.Jobs {
+				if sp := s.Jobs[j].Spec; sp.ID == c.Job {
+					c.Rank, c.Takes = sp.Urgency.Rank(), Of(sp)
+				}
+			}
+			m.Claims = []Claim{c}
+			m.Stopping = Res{CPUs: float64(rapid.IntRange(0, 3).Draw(t, "stopping")), RAM: 2}
+		}
+	}
 	return s
 }
 
@@ -160,27 +247,44 @@
 			pending[i] = s.Jobs[i].Pending
 		}
 		res := Place(clone(s))
-		for n, st := range res.Starts {
-			if !legal(model, st.Job, st.Machine) {
-				t.Fatalf("start %d is not legal: %+v", n, st)
+		for n := 0; n < len(res.Starts); {
+			job := res.Starts[n].Job
+			j, units := &model.Jobs[job], 1
+			if j.Spec.Gang() {
+				units = j.Spec.Parts
 			}
 			here := clone(model)
 			for i := range here.Jobs {
 				here.Jobs[i].Pending = pending[i]
 			}
 			gains, _ := slow(here)
-			j, m := &model.Jobs[st.Job], &model.Machines[st.Machine]
-			u := s.Factors.Fallback
-			if m.Images[j.Spec.Bundle] == Present {
-				u = s.Factors.Preferred
+			u := s.Factors.Preferred
+			if j.Spec.Gang() {
+				limit := s.Teams[j.Spec.Owner].Limit.CPUs
+				if used := model.Teams[j.Spec.Owner].Used.CPUs + float64(units)*j.Spec.CPUs; limit > 0 && used > limit {
+					t.Fatalf("start %d: a gang of a team that may use %g makes it %g", n, limit, used)
+				}
+			}
+			for k := range units {
+				if n+k >= len(res.Starts) || res.Starts[n+k].Job != job {
+					t.Fatalf("start %d: only %d of %d tasks of a gang", n, k, units)
+				}
+				st := res.Starts[n+k]
+				if !legal(model, st.Job, st.Machine) {
+					t.Fatalf("start %d is not legal: %+v", n+k, st)
+				}
+				if model.Machines[st.Machine].Images[j.Spec.Bundle] != Present {
+					u = s.Factors.Fallback
+				}
+				apply(model, st.Job, st.Machine)
 			}
-			if got := u * j.Weight * (1 + j.WaitedS/s.Factors.WaitRaiseS); got < gains[0]-1e-9 {
-				t.Fatalf("start %d gains %g, the best is %g", n, got, gains[0])
+			if got := u * j.Weight * (1 + j.WaitedS/s.Factors.WaitRaiseS); len(gains) == 0 || got < gains[0]-1e-9 {
+				t.Fatalf("start %d gains %g, the best is %v", n, got, gains)
 			}
-			apply(model, st.Job, st.Machine)
-			if pending[st.Job]--; pending[st.Job] < 0 {
-				t.Fatalf("job %d was started too often", st.Job)
+			if pending[job] -= units; pending[job] < 0 {
+				t.Fatalf("job %d was started too often", job)
 			}
+			n += units
 		}
 		for i := range model.Jobs {
 			model.Jobs[i].Pending = pending[i]
