fleet: a whole demand's price counts for all of it

Cause: gather held the last machine against the price limit by the units that it would hold: a gang of four of which three had room was refused a machine for its last task, and waited until it starved. Ruled out: the offers (allowed and with room). Failing test: TestWholeDemand, which also holds what a whole demand may rent (one zone or nothing, another zone, room that frees, apart, MaxRents).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -381,7 +381,7 @@
 					pick, pickCost = i, c
 				}
 			}
-			if pick < 0 || s.Cheapest != nil && pickCost > s.DearLimit*max(1, d.Dear)*s.Cheapest(d.Spec) || wants+len(rents) >= s.MaxRents {
+			if pick < 0 || wants+len(rents) >= s.MaxRents {
 				break
 			}
 			o := &offers[pick]
@@ -392,6 +392,10 @@
 			left -= n
 			cost += o.Price
 		}
+		// The price counts for all of it: its last unit alone is dear on any machine.
+		if s.Cheapest != nil && cost/float64(d.Units) > s.DearLimit*max(1, d.Dear)*s.Cheapest(d.Spec) {
+			continue
+		}
 		if left == 0 && (!found || cost < bestCost) {
 			best, bestCost, found = rents, cost, true
 		}
