leader: a gang's claims lapse together

Cause: claims lapse one by one, with their machine or their time, and the next round makes room only for a gang of which nothing is claimed: with one of four gone the gang waited until the other three had run out, 20 to 60 s. A machine that had left the list of machines also kept its claims. Failing test: TestClaimsOfAGangLapseTogether.

--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -81,7 +81,7 @@
 	for m := range t.claimed {
 		m.claims = slices.DeleteFunc(m.claims, func(c claim) bool {
 			j := t.jobs[c.Job]
-			if now.After(c.until) || m.releasing || m.drain != "" || j == nil || j.cancelled || n[c.Job] >= j.pending() {
+			if now.After(c.until) || t.machines[m.id] != m || m.releasing || m.drain != "" || j == nil || j.cancelled || n[c.Job] >= j.pending() {
 				return true
 			}
 			n[c.Job]++
@@ -91,6 +91,21 @@
 			delete(t.claimed, m)
 		}
 	}
+	// What is left of a gang's claims is of no use; room is made for all of it anew.
+	short := func(id wire.JobID) bool {
+		j := t.jobs[id]
+		return j != nil && j.spec.Gang() && n[id] > 0 && n[id] < j.spec.Parts
+	}
+	for m := range t.claimed {
+		if m.claims = slices.DeleteFunc(m.claims, func(c claim) bool { return short(c.Job) }); len(m.claims) == 0 {
+			delete(t.claimed, m)
+		}
+	}
+	for id := range n {
+		if short(id) {
+			delete(n, id)
+		}
+	}
 	return n
 }
 
