Room kept free from arrays for the next gangs: gangs.spare

Everyday gangs stop nothing and should start within 4 to 15 s while arrays fill every machine. For the largest gang of each class that is unfinished or was so in the last three minutes room is kept, so many times as gangs.spare says (1): all of it in one zone if it wants that, where most of it fits and its image is. Services and gangs use it, and an array that lingers. The fleet's plan has a whole demand for it, behind services' spare room. Tests: TestRoomForTheNextGang, TestNextGangs.

--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -1,8 +1,11 @@
 package leader
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"lilaclead/internal/placement"
 	"lilaclead/internal/wire"
 )
 
@@ -144,6 +147,52 @@
 	}
 }
 
+// gangSeen is a gang of a class, and when one like it was last unfinished.
+type gangSeen struct {
+	spec *wire.Spec
+	at   time.Time
+}
+
+// gangKind tells the sizes of gangs of a class apart.
+type gangKind struct {
+	lane  string
+	parts int
+	takes placement.Res
+}
+
+// nextFor is how long room is kept for the gangs of a class after its last one.
+const nextFor = 3 * time.Minute
+
+// nextGangs are the gangs for which room is kept free of arrays: the largest of
+// each class seen lately, as often as operators say. Everyday gangs may stop
+// nothing, and should start sooner than anything ends on a full deployment.
+func (t *term) nextGangs(times float64, now time.Time) []*wire.Spec {
+	for _, j := range t.jobs {
+		if j.spec.Gang() && !j.cancelled && !j.over {
+			t.gangsSeen[gangKind{string(j.spec.Lane), j.spec.Parts, placement.Of(&j.spec)}] = gangSeen{&j.spec, now}
+		}
+	}
+	size := func(s *wire.Spec) float64 { return float64(s.Parts) * (s.CPUs + s.RAM/1000 + 10*s.Cards) }
+	largest := map[string]*wire.Spec{}
+	for k, g := range t.gangsSeen {
+		if now.Sub(g.at) > nextFor {
+			delete(t.gangsSeen, k)
+		} else if l := largest[k.lane]; l == nil || size(g.spec) > size(l) || size(g.spec) == size(l) && g.spec.ID < l.ID {
+			largest[k.lane] = g.spec
+		}
+	}
+	var out []*wire.Spec
+	for _, s := range largest {
+		for range int(times) {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *wire.Spec) int {
+		return cmp.Or(cmp.Compare(b.Urgency.Rank(), a.Urgency.Rank()), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
 // windDown of a gang: each has its time to save, and what is saved waits for the
 // others.
 func (t *term) windDownOf(j *job) wire.Seconds {
--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -34,3 +34,38 @@
 		t.Errorf("claims %v, on the machine that is left %v", n, m.claims)
 	}
 }
+
+// Room is kept for the largest gang of each class that is unfinished or was so in
+// the last three minutes.
+func TestNextGangs(t *testing.T) {
+	tm, _, _ := rig(t)
+	now := time.Now()
+	names := func(times float64, at time.Time) (out []wire.JobID) {
+		for _, s := range tm.nextGangs(times, at) {
+			out = append(out, s.ID)
+		}
+		return
+	}
+	gangJob(tm, "req-2", 2)
+	gangJob(tm, "req-3", 4)
+	if got := names(1, now); len(got) != 1 || got[0] != "req-3" {
+		t.Errorf("room for %v", got)
+	}
+	if got := names(2, now); len(got) != 2 {
+		t.Errorf("twice: room for %v", got)
+	}
+	if got := names(0, now); len(got) != 0 {
+		t.Errorf("none: room for %v", got)
+	}
+	delete(tm.jobs, "req-3")
+	if got := names(1, now.Add(nextFor-time.Second)); len(got) != 1 || got[0] != "req-3" {
+		t.Errorf("lately: room for %v", got)
+	}
+	if got := names(1, now.Add(nextFor+time.Second)); len(got) != 1 || got[0] != "req-2" {
+		t.Errorf("later: room for %v", got)
+	}
+	ds := tm.nextDemands(1, now.Add(nextFor+time.Second))
+	if len(ds) != 1 || !ds[0].Whole || ds[0].Units != 2 || ds[0].Rank >= 9 {
+		t.Errorf("demands %+v", ds)
+	}
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -728,6 +728,7 @@
 		s.Offers = t.offers(flavors, now)
 	}
 	s.Demands = t.demands(now, v.StretchShare, v.SpareUnits)
+	s.Demands = append(s.Demands, t.nextDemands(v.SpareGangs, now)...)
 	plan := fleet.Make(s)
 	for _, r := range plan.Rents {
 		for left := r.Count; left > 0; left -= maxBooking {
@@ -876,6 +877,23 @@
 	return out
 }
 
+// nextDemands are for the room that is kept for the next gangs. It goes before
+// the arrays and behind services and their spare room.
+func (t *term) nextDemands(times float64, now time.Time) []fleet.Demand {
+	var out []fleet.Demand
+	for _, spec := range t.nextGangs(times, now) {
+		d := fleet.Demand{Spec: spec, Units: spec.Parts, Rank: 8.5, Whole: true}
+		if spec.Apart {
+			d.ZoneLeft = map[wire.Zone]int{}
+			for _, z := range t.zones() {
+				d.ZoneLeft[z] = spec.ZoneCap()
+			}
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
 // due is when the job should be complete, counted from its submission: what
 // its owner says, else what the users' aims say of its class, else a few times
 // its expected run time. Aims may name several times for a class; the first
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -279,6 +279,11 @@
 		o := placement.Of(&j.spec)
 		least = placement.Res{CPUs: min(least.CPUs, o.CPUs), Cards: min(least.Cards, o.Cards), RAM: min(least.RAM, o.RAM)}
 	}
+	next := t.nextGangs(v.SpareGangs, now)
+	for _, g := range next { // its room may be smaller than all that waits takes
+		o := placement.Of(g)
+		least = placement.Res{CPUs: min(least.CPUs, o.CPUs), Cards: min(least.Cards, o.Cards), RAM: min(least.RAM, o.RAM)}
+	}
 	var ms, full []*machine
 	for _, m := range t.machines {
 		switch {
@@ -393,6 +398,7 @@
 		kept = append(kept, j)
 	}
 	s.Spare, s.SpareTakes = t.spare(v.SpareUnits)
+	s.Gangs = next
 	return s, ms, kept
 }
 
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -75,8 +75,9 @@
 	dirty      map[*chunk]struct{} // differ from what is stored
 	closing    map[*job]struct{}   // can be archived
 	lacking    map[*job]struct{}   // gangs of which a task was lost, not yet looked after
-	chasing    map[*job]struct{}   // cancelled, with attempts that may be on machines
-	noted      uint64              // what of the ledger of cancellations has been taken in
+	gangsSeen  map[gangKind]gangSeen
+	chasing    map[*job]struct{} // cancelled, with attempts that may be on machines
+	noted      uint64            // what of the ledger of cancellations has been taken in
 	writing    bool
 	lowered    bool // the state service has refused what the former limits allowed
 	retryAt    time.Time
@@ -100,7 +101,7 @@
 		early: map[wire.MachineID]wire.Report{}, jobs: map[wire.JobID]*job{}, past: map[wire.JobID]bool{},
 		machines: map[wire.MachineID]*machine{}, gone: map[wire.MachineID]time.Time{},
 		cutAt: map[wire.Zone]time.Time{}, heard: map[wire.Zone]heard{}, dirty: map[*chunk]struct{}{}, closing: map[*job]struct{}{},
-		claimed: map[*machine]struct{}{}, chasing: map[*job]struct{}{}, lacking: map[*job]struct{}{},
+		claimed: map[*machine]struct{}{}, chasing: map[*job]struct{}{}, lacking: map[*job]struct{}{}, gangsSeen: map[gangKind]gangSeen{},
 	}
 	t.until.Store(int64(o.until.Sub(o.at)))
 	t.fleet.init()
--- a/internal/placement/gang_test.go
+++ b/internal/placement/gang_test.go
@@ -283,3 +283,41 @@
 		t.Errorf("halts %+v", res.Halts)
 	}
 }
+
+// Room for the next gang is kept from arrays, all of it in one zone, where its
+// image is; services and gangs use it, and an array that lingers.
+func TestRoomForTheNextGang(t *testing.T) {
+	place := func(spec *wire.Spec, lingers, alone bool) map[wire.MachineID]int {
+		ms := []Machine{inZone("m", "a", 4), inZone("n", "b", 4), inZone("o", "a", 2), inZone("p", "b", 4)}
+		if alone {
+			ms = ms[1:2]
+		}
+		ms[min(1, len(ms)-1)].Images = map[wire.ImageID]Image{"i": Present}
+		s := snapOf(ms, Job{Spec: spec, Lingers: lingers})
+		s.Preempt, s.Gangs = false, []*wire.Spec{gangSpec("req-9", wire.Standard, 3, 2)}
+		got := map[wire.MachineID]int{}
+		for _, st := range Place(s).Starts {
+			got[s.Machines[st.Machine].ID]++
+		}
+		return got
+	}
+	of := func(shape wire.Shape, parts int) *wire.Spec {
+		return &wire.Spec{ID: "req-1", Owner: "t", Shape: shape, Parts: parts, CPUs: 2, RAM: 2, Standby: true}
+	}
+	// Two of three units are kept on n, which has the image, one on p.
+	if got := place(of(wire.Sweep, 9), false, false); got["n"] != 0 || got["p"] != 1 || got["m"] != 2 || got["o"] != 1 {
+		t.Errorf("an array takes %v", got)
+	}
+	// What there is of the room is kept, though it is not all; one unit of an array
+	// that lingers and finds no other room uses it.
+	for lingers, want := range map[bool]int{false: 0, true: 1} {
+		if got := place(of(wire.Sweep, 9), lingers, true); got["n"] != want {
+			t.Errorf("lingers %v: an array takes %v", lingers, got)
+		}
+	}
+	for _, shape := range []wire.Shape{wire.Daemon, wire.Ensemble} {
+		if got := place(of(shape, 7), false, false); got["n"] != 2 || got["p"] != 2 || got["m"] != 2 || got["o"] != 1 {
+			t.Errorf("%s takes %v", shape, got)
+		}
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -98,6 +98,7 @@
 	Stopping Res
 	kept     int // units of spare room kept here in this round
 	keeps    Res // what they take
+	gangs    Res // room kept here for the next gangs
 }
 
 // Claim is room that is being made for one unit of a job.
@@ -169,6 +170,8 @@
 	// only services may use it.
 	Spare      int
 	SpareTakes Res
+	// Gangs are those for which room is kept free of arrays.
+	Gangs []*wire.Spec
 	// Preempt allows to stop tasks for jobs of higher priority.
 	Preempt bool
 	// More, if set, adds the machines that have no room for anything that
@@ -264,6 +267,9 @@
 func Place(s *Snapshot) Result {
 	var res Result
 	reserve(s)
+	for _, spec := range s.Gangs {
+		keepGang(s, spec)
+	}
 	p := pass{s: s, gains: make(map[int][2]float64)}
 	tree := Unit(s.Factors)
 	unit := [2]float64{utility.Gain(tree, utility.Grant{}, withImage), utility.Gain(tree, utility.Grant{}, without)}
@@ -397,7 +403,7 @@
 		if !take.Fits(m.Free) || !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) {
 			continue
 		}
-		kept := !j.Spec.Service() && spoils(m, take)
+		kept := !j.Spec.Service() && spoils(m, take, m.keeps.Plus(m.gangs))
 		if kept && !j.Lingers || m.claimed(j, take) {
 			continue
 		}
@@ -459,7 +465,7 @@
 		var seats []seat
 		for _, mi := range g {
 			m := &p.s.Machines[mi]
-			kept := spoils(m, take)
+			kept := spoils(m, take, m.keeps)
 			if !take.Fits(m.Free) || !Allowed(j.Spec, m) || !zoneOpen(j, m.Zone) || kept && !j.Lingers || m.claimed(j, take) {
 				continue
 			}
@@ -484,7 +490,7 @@
 		for _, st := range seats {
 			m := p.s.Machines[st.mi] // a copy, from which units are taken
 			first := true
-			for len(picks) < j.Pending && take.Fits(m.Free) && (j.Lingers || !spoils(&m, take)) && !m.claimed(j, take) && j.ZoneHeld[m.Zone]+inZone[m.Zone] < j.Spec.ZoneCap() {
+			for len(picks) < j.Pending && take.Fits(m.Free) && (j.Lingers || !spoils(&m, take, m.keeps)) && !m.claimed(j, take) && j.ZoneHeld[m.Zone]+inZone[m.Zone] < j.Spec.ZoneCap() {
 				m.Free = m.Free.Minus(take)
 				m.used(j.Spec.ID)
 				inZone[m.Zone]++
@@ -563,9 +569,60 @@
 	}
 }
 
-// spoils tells whether an array's task would take room kept for services.
-func spoils(m *Machine, take Res) bool {
-	return m.kept > 0 && !take.Plus(m.keeps).Fits(m.Free)
+// keepGang marks room for a gang, where most of it fits: what it lacks is kept as
+// it becomes free. Machines with its image go first, then the fullest.
+func keepGang(s *Snapshot, spec *wire.Spec) {
+	j, take := &Job{Spec: spec}, Of(spec)
+	var best map[int]int // units by machine
+	bestUnits, bestWarm := 0, 0
+	for _, g := range groups(s, j) {
+		units := map[int]int{}
+		var order []int
+		for _, mi := range g {
+			m := &s.Machines[mi]
+			if m.Cordoned || !Allowed(spec, m) {
+				continue
+			}
+			held := m.keeps.Plus(m.gangs)
+			n := take.Units(m.Free.Minus(held))
+			if len(m.Claims) > 0 {
+				n = min(n, take.Units(m.left(func(*Claim) bool { return false }).Minus(held)))
+			}
+			if n > 0 {
+				units[mi] = n
+				order = append(order, mi)
+			}
+		}
+		cold := func(mi int) int {
+			if s.Machines[mi].Images[spec.Bundle] == Present {
+				return 0
+			}
+			return 1
+		}
+		slices.SortStableFunc(order, func(a, b int) int {
+			return cmp.Or(cold(a)-cold(b), cmp.Compare(s.Machines[a].Free.CPUs, s.Machines[b].Free.CPUs))
+		})
+		left, warm, inZone := spec.Parts, 0, map[wire.Zone]int{}
+		for _, mi := range order {
+			z := s.Machines[mi].Zone
+			n := min(left, units[mi], spec.ZoneCap()-inZone[z])
+			units[mi] = n
+			left -= n
+			inZone[z] += n
+			warm += n * (1 - cold(mi))
+		}
+		if got := spec.Parts - left; got > bestUnits || got == bestUnits && warm > bestWarm {
+			best, bestUnits, bestWarm = units, got, warm
+		}
+	}
+	for mi, n := range best {
+		s.Machines[mi].gangs = s.Machines[mi].gangs.Plus(take.Times(float64(n)))
+	}
+}
+
+// spoils tells whether a task would take room that is kept from it.
+func spoils(m *Machine, take, keep Res) bool {
+	return keep != (Res{}) && !take.Plus(keep).Fits(m.Free)
 }
 
 // preempt picks tasks to stop so that what still waits with a higher
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -18,6 +18,7 @@
 	WaitRaiseS   float64 // waiting this long doubles a job's utility
 	RoundS       float64 // the longest time between rounds with waiting jobs
 	SpareUnits   float64 // room kept for the next replicas of services
+	SpareGangs   float64 // room kept for the largest gang of each class, so many times
 	KeepBoots    float64 // how long a machine is kept with nothing to do, in boot times of its type
 	LogLevel     string  // error, info, debug; empty: as LOG_LEVEL says
 	DearLimit    float64 // how many times the cheapest price an array's room may cost
@@ -26,7 +27,7 @@
 
 // Default values; docs/design.md says how they were found.
 func Default() Values {
-	return Values{Preferred: 1, Fallback: 0.5, WaitRaiseS: 60, RoundS: 1, SpareUnits: 2, KeepBoots: 0.6, StretchShare: 0.6, DearLimit: 2.3}
+	return Values{Preferred: 1, Fallback: 0.5, WaitRaiseS: 60, RoundS: 1, SpareUnits: 2, SpareGangs: 1, KeepBoots: 0.6, StretchShare: 0.6, DearLimit: 2.3}
 }
 
 // Field describes one setting.
@@ -46,6 +47,7 @@
 	{Name: "utility.wait_raise_s", About: "waiting this many seconds doubles a job's utility", Min: 1, Max: 86400, num: func(v *Values) *float64 { return &v.WaitRaiseS }},
 	{Name: "round.period_s", About: "longest time between rounds while jobs wait", Min: 0.2, Max: 30, num: func(v *Values) *float64 { return &v.RoundS }},
 	{Name: "services.spare_units", About: "room kept free for the next replicas of services, in replicas", Min: 0, Max: 1000, num: func(v *Values) *float64 { return &v.SpareUnits }},
+	{Name: "gangs.spare", About: "room kept free from arrays for the next gangs, in times the largest gang seen lately of each class", Min: 0, Max: 100, num: func(v *Values) *float64 { return &v.SpareGangs }},
 	{Name: "fleet.keep_boots", About: "how long a machine is kept with nothing to do, in boot times of its type", Min: 0, Max: 100, num: func(v *Values) *float64 { return &v.KeepBoots }},
 	{Name: "fleet.stretch_share", About: "share of a deadline's slack that an array's work may be stretched over", Min: 0.05, Max: 1, num: func(v *Values) *float64 { return &v.StretchShare }},
 	{Name: "fleet.dear_limit", About: "how many times the cheapest price the room for an array's task may cost", Min: 1, Max: 1000, num: func(v *Values) *float64 { return &v.DearLimit }},
