--- /dev/null
+++ b/internal/leader/gang_test.go
@@ -0,0 +1,71 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"lilaclead/internal/placement"
+	"lilaclead/internal/store"
+	"lilaclead/internal/wire"
+)
+
+func gangJob(tm *term, id wire.JobID, parts int) *job {
+	j := newJob(store.JobRecord{Spec: wire.Spec{ID: id, Lane: "sweep", Owner: "red", Shape: wire.Ensemble, Urgency: wire.Standard, Parts: parts, CPUs: 2, RAM: 4, SamePlace: true}, At: wire.StampOf(time.Now())}, 2)
+	tm.jobs[id] = j
+	return j
+}
+
+// A gang whose claims lapse in part, with a machine, keeps none of them: with the
+// rest no room was made for it until they had lapsed too.
+func TestClaimsOfAGangLapseTogether(t *testing.T) {
+	tm, m, _ := rig(t)
+	gangJob(tm, "req-2", 2)
+	other := tm.machine("n-2")
+	now := time.Now()
+	for _, x := range []*machine{m, other} {
+		x.claims = []claim{{placement.Claim{Job: "req-2", Rank: 1}, nil, now.Add(time.Minute)}}
+		tm.claimed[x] = struct{}{}
+	}
+	if n := tm.claims(now); n["req-2"] != 2 {
+		t.Fatalf("claims %v", n)
+	}
+	delete(tm.machines, other.id)
+	if n := tm.claims(now); n["req-2"] != 0 || len(m.claims) != 0 || len(tm.claimed) != 0 {
+		t.Errorf("claims %v, on the machine that is left %v", n, m.claims)
+	}
+}
+
+// Room is kept for the largest gang of each class that is unfinished or was so in
+// the last three minutes.
+func TestNextGangs(t *testing.T) {
+	tm, _, _ := rig(t)
+	now := time.Now()
+	names := func(times float64, at time.Time) (out []wire.JobID) {
+		for _, s := range tm.nextGangs(times, at) {
+			out = append(out, s.ID)
+		}
+		return
+	}
+	gangJob(tm, "req-2", 2)
+	gangJob(tm, "req-3", 4)
+	if got := names(1, now); len(got) != 1 || got[0] != "req-3" {
+		t.Errorf("room for %v", got)
+	}
+	if got := names(2, now); len(got) != 2 {
+		t.Errorf("twice: room for %v", got)
+	}
+	if got := names(0, now); len(got) != 0 {
+		t.Errorf("none: room for %v", got)
+	}
+	delete(tm.jobs, "req-3")
+	if got := names(1, now.Add(nextFor-time.Second)); len(got) != 1 || got[0] != "req-3" {
+		t.Errorf("lately: room for %v", got)
+	}
+	if got := names(1, now.Add(nextFor+time.Second)); len(got) != 1 || got[0] != "req-2" {
+		t.Errorf("later: room for %v", got)
+	}
+	ds := tm.nextDemands(1, now.Add(nextFor+time.Second))
+	if len(ds) != 1 || !ds[0].Whole || ds[0].Units != 2 || ds[0].Rank >= 9 {
+		t.Errorf("demands %+v", ds)
+	}
+}
--- a/internal/leader/round.go
+++ b/internal/leader/round.go
@@ -101,7 +101,7 @@
 	for m := range t.claimed {
 		m.claims = slices.DeleteFunc(m.claims, func(c claim) bool {
 			j := t.jobs[c.Job]
-			if now.After(c.until) || m.releasing || m.drain != "" || j == nil || j.cancelled || n[c.Job] >= j.pending() {
+			if now.After(c.until) || t.machines[m.id] != m || m.releasing || m.drain != "" || j == nil || j.cancelled || n[c.Job] >= j.pending() {
 				return true
 			}
 			n[c.Job]++
@@ -111,6 +111,21 @@
 			delete(t.claimed, m)
 		}
 	}
+	// What is left of a gang's claims is of no use; room is made for all of it anew.
+	short := func(id wire.JobID) bool {
+		j := t.jobs[id]
+		return j != nil && j.spec.Gang() && n[id] > 0 && n[id] < j.spec.Parts
+	}
+	for m := range t.claimed {
+		if m.claims = slices.DeleteFunc(m.claims, func(c claim) bool { return short(c.Job) }); len(m.claims) == 0 {
+			delete(t.claimed, m)
+		}
+	}
+	for id := range n {
+		if short(id) {
+			delete(n, id)
+		}
+	}
 	return n
 }
 
@@ -284,6 +299,11 @@
 		o := placement.Of(&j.spec)
 		least = placement.Res{CPUs: min(least.CPUs, o.CPUs), Cards: min(least.Cards, o.Cards), RAM: min(least.RAM, o.RAM)}
 	}
+	next := t.nextGangs(v.SpareGangs, now)
+	for _, g := range next { // its room may be smaller than all that waits takes
+		o := placement.Of(g)
+		least = placement.Res{CPUs: min(least.CPUs, o.CPUs), Cards: min(least.Cards, o.Cards), RAM: min(least.RAM, o.RAM)}
+	}
 	var ms, full []*machine
 	for _, m := range t.machines {
 		switch {
@@ -400,6 +420,7 @@
 	}
 	t.keepLimits(s, kept, now)
 	s.Spare, s.SpareTakes = t.spare(v.SpareUnits)
+	s.Gangs = next
 	return s, ms, kept
 }
 
