--- a/gang_test.go
+++ b/gang_test.go
@@ -219,6 +219,10 @@
 				j.Spec.Urgency, j.Spec.Kits = wire.Standard, []wire.Kit{"c4"}
 				s.Spec.Apart, s.Spec.RAM = false, 6
 				at(2 * time.Second)
+				// Room kept for the next gang would be room for the service.
+				if status, raw, _ := w.Operate(0, "PUT", "/admin/settings", map[string]any{"version": 0, "set": map[string]any{"gangs.spare": 0}}); status != 200 {
+					t.Fatalf("settings answer %d %s", status, raw)
+				}
 				w.Submit(j, 0)
 				runs(t, w, j, 60*time.Second)
 				w.NoMore()
