Tests: one way for a user to cancel at a node, one rig for the copy of live jobs

Three loops asked, decoded and told the checker each by itself (meet_limits, meet_leaders, meet_gap): askCancel. meet_reports counted what is on machines by a twin of alive. The three tests of the copy set up and took down the same world: withCopy.

--- a/internal/store/copy_test.go
+++ b/internal/store/copy_test.go
@@ -17,21 +17,43 @@
 	"lilaclead/internal/wire"
 )
 
+// rig is a copy that a node asks, with the state service and network beneath it.
+type rig struct {
+	nw *standin.Network
+	st *standin.State
+	c  *store.Client
+	y  *store.Copy
+}
+
+// withCopy runs f in virtual time with a copy for so many requests a second.
+func withCopy(t *testing.T, rps float64, f func(t *testing.T, ctx context.Context, r rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := rig{nw: standin.NewNetwork(time.Millisecond), st: standin.NewState(12, 16)}
+		srv := serve(t, r.nw, r.st)
+		r.c = store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, r.nw.Host("10.0.0.1"))
+		r.y = store.NewCopy(r.c, cancels.New(nil, time.Minute), rps, 1)
+		go r.y.Run(ctx)
+		f(t, ctx, r)
+		cancel()
+		r.nw.Close()
+		srv.Close()
+		time.Sleep(5 * time.Second)
+		r.nw.Close()
+	})
+}
+
 // The copy against the plain model, a map: whatever was written before a
 // question is in its answer; questions that come together share a look; and
 // with the service away they are refused soon.
 func TestCopyIsNeverStale(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		nw, st := standin.NewNetwork(time.Millisecond), standin.NewState(12, 16)
-		srv := serve(t, nw, st)
-		c := store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
+	withCopy(t, 40, func(t *testing.T, ctx context.Context, r rig) { // a look every tenth of a second at most
+		nw, st, c, y := r.nw, r.st, r.c, r.y
 		var calls sync.Map
 		c.Observe = func(string, string, time.Duration) {
 			calls.Store(time.Now().UnixNano()+int64(rand.Uint32()%1000), true)
 		}
-		y := store.NewCopy(c, cancels.New(nil, time.Minute), 40, 1) // a look every tenth of a second at most
-		go y.Run(ctx)
 
 		model := map[wire.JobID]wire.Status{}
 		rng := rand.New(rand.NewPCG(1, 2))
@@ -79,24 +101,14 @@
 		if _, err := y.Get(ctx, "req-1"); err == nil || errors.Is(err, store.ErrMissing) || time.Since(begin) > 1500*time.Millisecond {
 			t.Errorf("with the service away: %v after %v", err, time.Since(begin))
 		}
-		cancel()
-		nw.Close()
-		srv.Close()
-		time.Sleep(5 * time.Second)
-		nw.Close()
 	})
 }
 
 // A list of several pages is older at its beginning than at its end: what changes
 // meanwhile on a page that was read already must be seen by the next look.
 func TestCopyListedWhileJobsChange(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		nw, st := standin.NewNetwork(time.Millisecond), standin.NewState(12, 16)
-		srv := serve(t, nw, st)
-		c := store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
-		y := store.NewCopy(c, cancels.New(nil, time.Minute), 1000, 1)
-		go y.Run(ctx)
+	withCopy(t, 1000, func(t *testing.T, ctx context.Context, r rig) {
+		st, y := r.st, r.y
 		put := func(id wire.JobID, s wire.Status) {
 			st.Put(store.JobKey(id), store.JobRecord{Spec: wire.Spec{ID: id}, Status: s})
 		}
@@ -124,11 +136,6 @@
 				t.Errorf("%s: %v %v, want %q", id, got, err, want)
 			}
 		}
-		cancel()
-		nw.Close()
-		srv.Close()
-		time.Sleep(5 * time.Second)
-		nw.Close()
 	})
 }
 
@@ -136,13 +143,8 @@
 // longer kept, the copy must be told to list. (It once was given the rest, and
 // took a job that had ended for a live one.)
 func TestCopyFromShortBooks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		nw, st := standin.NewNetwork(time.Millisecond), standin.NewState(12, 16)
-		srv := serve(t, nw, st)
-		c := store.New(standin.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
-		y := store.NewCopy(c, cancels.New(nil, time.Minute), 1000, 1)
-		go y.Run(ctx)
+	withCopy(t, 1000, func(t *testing.T, ctx context.Context, r rig) {
+		st, c, y := r.st, r.c, r.y
 		st.Short(2, 0)
 		st.Put(store.JobKey("req-1"), store.JobRecord{Spec: wire.Spec{ID: "req-1"}, Status: wire.Queued})
 		if got, err := y.Get(ctx, "req-1"); err != nil || got.Status != wire.Queued {
@@ -155,10 +157,5 @@
 		if got, err := y.Get(ctx, "req-1"); !errors.Is(err, store.ErrMissing) {
 			t.Errorf("%v %v", got, err)
 		}
-		cancel()
-		nw.Close()
-		srv.Close()
-		time.Sleep(5 * time.Second)
-		nw.Close()
 	})
 }
--- a/meet_gap_test.go
+++ b/meet_gap_test.go
@@ -9,17 +9,24 @@
 	"lilaclead/internal/wire"
 )
 
-// cancelAt cancels a job at one node as its user, and tells whether the node
-// confirmed it.
-func cancelAt(w *standin.World, node int, id wire.JobID) bool {
+// askCancel asks a node once to cancel a job, as its user, and tells the status
+// that the user was told, if any.
+func askCancel(w *standin.World, node int, id wire.JobID) (wire.Status, bool) {
 	w.Checked(func(c *standin.Checker) { c.CancelAsked(id) })
 	status, raw, _ := w.Ask(node, "POST", "/v1/jobs/"+string(id)+"/cancel", nil)
 	var b wire.JobBrief
 	if status != 200 || wire.Decode(raw, &b) != nil {
-		return false
+		return "", false
 	}
 	w.Checked(func(c *standin.Checker) { c.Told(id, b.Status, time.Now()) })
-	return b.Status == wire.Cancelled
+	return b.Status, true
+}
+
+// cancelAt cancels a job at one node as its user, and tells whether the node
+// confirmed it.
+func cancelAt(w *standin.World, node int, id wire.JobID) bool {
+	status, ok := askCancel(w, node, id)
+	return ok && status == wire.Cancelled
 }
 
 // alive is how many tasks of a job are on machines.
--- a/meet_leaders_test.go
+++ b/meet_leaders_test.go
@@ -52,17 +52,12 @@
 func cancelsAt(t *testing.T, w *standin.World, i int, j standin.Truth) time.Time {
 	t.Helper()
 	id := j.Spec.ID
-	w.Checked(func(c *standin.Checker) { c.CancelAsked(id) })
 	for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(100 * time.Millisecond) {
-		status, raw, _ := w.Ask(i, "POST", "/v1/jobs/"+string(id)+"/cancel", nil)
-		var b wire.JobBrief
-		if status == 200 && wire.Decode(raw, &b) == nil {
-			if b.Status != wire.Cancelled {
-				t.Errorf("%s is called %s when its user cancels it", id, b.Status)
+		if status, ok := askCancel(w, i, id); ok {
+			if status != wire.Cancelled {
+				t.Errorf("%s is called %s when its user cancels it", id, status)
 			}
-			now := time.Now()
-			w.Checked(func(c *standin.Checker) { c.Told(id, b.Status, now) })
-			return now
+			return time.Now()
 		}
 	}
 	t.Fatalf("%s can't be cancelled at node %d", id, i)
--- a/meet_limits_test.go
+++ b/meet_limits_test.go
@@ -38,13 +38,9 @@
 // the user was told. It tells whether that was within the time.
 func cancelNow(t *testing.T, w *standin.World, id wire.JobID, within time.Duration) bool {
 	t.Helper()
-	w.Checked(func(c *standin.Checker) { c.CancelAsked(id) })
 	for begin, i := time.Now(), 0; time.Since(begin) < within; i++ {
-		status, raw, _ := w.Ask(i%w.Set.Size, "POST", "/v1/jobs/"+string(id)+"/cancel", nil)
-		var b wire.JobBrief
-		if status == 200 && wire.Decode(raw, &b) == nil {
-			w.Checked(func(c *standin.Checker) { c.Told(id, b.Status, time.Now()) })
-			return b.Status == wire.Cancelled
+		if status, ok := askCancel(w, i%w.Set.Size, id); ok {
+			return status == wire.Cancelled
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
--- a/meet_reports_test.go
+++ b/meet_reports_test.go
@@ -21,12 +21,6 @@
 	}
 }
 
-// on counts the tasks of a job that are on machines.
-func on(w *standin.World, j standin.Truth) (n int) {
-	w.Checked(func(c *standin.Checker) { n = c.On(j.Spec.ID) })
-	return n
-}
-
 // nextLeader waits for the office to be taken anew and says by whom.
 func nextLeader(t *testing.T, w *standin.World, old wire.Token) (int, wire.Token) {
 	t.Helper()
@@ -50,7 +44,7 @@
 // cancelledIsGone checks that nothing of a cancelled job is left.
 func cancelledIsGone(t *testing.T, w *standin.World, j standin.Truth, when string) {
 	t.Helper()
-	if n := on(w, j); n != 0 {
+	if n := alive(w, j.Spec.ID); n != 0 {
 		t.Errorf("%d tasks of the cancelled %s %s", n, j.Spec.ID, when)
 	}
 }
@@ -70,8 +64,8 @@
 				w.Submit(gone, 0)
 				at(45 * time.Second)
 				ms := w.Working("")
-				if len(ms) == 0 || on(w, gone) != 4 {
-					t.Fatalf("%d machines at work, %d tasks to cancel", len(ms), on(w, gone))
+				if len(ms) == 0 || alive(w, gone.Spec.ID) != 4 {
+					t.Fatalf("%d machines at work, %d tasks to cancel", len(ms), alive(w, gone.Spec.ID))
 				}
 				held := map[wire.MachineID]int{}
 				for _, id := range ms {
@@ -508,7 +502,7 @@
 						w.CloudOutage(cloud)
 						off(true)
 						time.Sleep(within(rng)(3))
-						if n := on(w, gone); n != 10 {
+						if n := alive(w, gone.Spec.ID); n != 10 {
 							t.Errorf("%d of 10 tasks run when they are cancelled", n)
 						}
 						mustCancel(t, w, gone)
@@ -526,7 +520,7 @@
 						}
 						w.Submit(a, 0)
 						time.Sleep(within(rng)(8))
-						if how == "hang" && on(w, gone) == 0 && cloud {
+						if how == "hang" && alive(w, gone.Spec.ID) == 0 && cloud {
 							t.Error("the hanging machines lost their tasks before they went on")
 						}
 						if how != "mute" {
@@ -661,7 +655,7 @@
 					w.State.Outage(true)
 				}
 				time.Sleep(4 * time.Second)
-				if on(w, gone) == 0 {
+				if alive(w, gone.Spec.ID) == 0 {
 					t.Error("no cancelled task runs when the state service is away")
 				}
 				w.Hang(false, ms...)
