Single-holder duties: a lease, permits and recorded intents as package duty

Need: a replaced leader's rental or return may arrive at the cloud minutes later, and the cloud knows no tokens. A late return took a machine with the tasks that the successor had placed there; a late rental paid for machines nobody had asked for.

Change: package duty has the lease (election is a layer on it now), a permit for each act of a duty, which only a surely held lease gives and which the cloud's client asks for, contexts that end before the lease can have, and intents: what is asked of the cloud is recorded first, by a write guarded by the lease's key, and a successor goes on with it under the same name. Giving up the leadership ends all permits before the state service is told. Turned on by deploy/features.toml (internal/features), found beside the program, so that the run line stays the one that production starts with; `check` prints what is on.

--- a/cmd/lilaclead/main.go
+++ b/cmd/lilaclead/main.go
@@ -25,7 +25,8 @@
 const version = "0.1.0"
 
 type cli struct {
-	Config string `help:"Settings file of the platform (TOML)." placeholder:"FILE"`
+	Config   string `help:"Settings file of the platform (TOML)." placeholder:"FILE"`
+	Features string `help:"File that turns optional parts on (TOML); by default deploy/features.toml beside the program's folder, if there is one." placeholder:"FILE"`
 
 	Serve   serveCmd   `cmd:"" default:"1" help:"Serve as a controller (the default)."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file and print every error with its field."`
@@ -59,13 +60,35 @@
 	return lilaclead.LoadConfig(c.Config)
 }
 
+// features are the optional parts that are on. A file that is named must be there.
+func (c *cli) features() (lilaclead.Features, error) {
+	path := c.Features
+	if path == "" {
+		program, err := os.Executable()
+		if err != nil {
+			return lilaclead.Features{}, fmt.Errorf("where this program lies, and so its features file: %w", err)
+		}
+		path = lilaclead.FeaturesPathBeside(program)
+	} else if _, err := os.Stat(path); err != nil {
+		return lilaclead.Features{}, fmt.Errorf("features file: %w", err)
+	}
+	return lilaclead.LoadFeatures(path)
+}
+
+// loadAll reads both files and reports what is wrong in either.
+func (c *cli) loadAll() (*lilaclead.Config, lilaclead.Features, error) {
+	cfg, configErr := c.load()
+	parts, featuresErr := c.features()
+	return cfg, parts, errors.Join(configErr, featuresErr)
+}
+
 func (serveCmd) Run(c *cli) error {
-	cfg, err := c.load()
+	cfg, parts, err := c.loadAll()
 	if err != nil {
 		return err
 	}
 	lilaclead.LimitProcess(cfg)
-	n, err := lilaclead.New(cfg, lilaclead.Options{})
+	n, err := lilaclead.New(cfg, lilaclead.Options{Features: parts})
 	if err != nil {
 		return err
 	}
@@ -75,10 +98,12 @@
 }
 
 func (checkCmd) Run(c *cli) error {
-	if _, err := c.load(); err != nil {
+	_, parts, err := c.loadAll()
+	if err != nil {
 		return err
 	}
 	fmt.Println("ok")
+	fmt.Println("features:", parts)
 	return nil
 }
 
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/time/rate"
 
+	"lilaclead/duty"
 	"lilaclead/internal/config"
 	"lilaclead/internal/netio"
 	"lilaclead/internal/wire"
@@ -72,7 +73,12 @@
 	}
 }
 
-func (c *Client) do(ctx context.Context, op, method, path string, body, out any) (err error) {
+// unguarded is for calls that change nothing.
+func unguarded() error { return nil }
+
+// do makes one call. Right before it is sent, after any wait for the budget, it asks
+// whether it still may be.
+func (c *Client) do(ctx context.Context, may func() error, op, method, path string, body, out any) (err error) {
 	begin := time.Now()
 	defer func() {
 		outcome := "ok"
@@ -86,6 +92,9 @@
 	if err := c.budget.Wait(ctx); err != nil {
 		return ErrBusy
 	}
+	if err := may(); err != nil {
+		return err
+	}
 	status, raw, _, err := netio.Call(ctx, c.http, method, c.base+path, body, maxAnswer)
 	if err != nil {
 		if wire.NotSent(err) {
@@ -119,7 +128,7 @@
 // Flavors reads the machine types and their current prices.
 func (c *Client) Flavors(ctx context.Context) ([]wire.MachineSpec, error) {
 	var offered wire.MachineSpecs
-	err := c.do(ctx, "flavors", "GET", "/flavors", nil, &offered)
+	err := c.do(ctx, unguarded, "flavors", "GET", "/flavors", nil, &offered)
 	if err == nil && len(offered.Types) == 0 {
 		err = fmt.Errorf("%w: no machine types", ErrUnknown)
 	}
@@ -127,17 +136,21 @@
 }
 
 // Rent asks for machines; a request is repeated under its name until it is
-// answered.
-func (c *Client) Rent(ctx context.Context, request wire.RentalRequest) ([]wire.MachineID, error) {
+// answered. An error that is duty.ErrNotHeld says that it was not sent.
+func (c *Client) Rent(ctx context.Context, permit duty.Permit[duty.Renting], request wire.RentalRequest) ([]wire.MachineID, error) {
 	var rented wire.MachineNames
-	err := c.do(ctx, "rent", "POST", "/machines", request, &rented)
+	err := permit.Do(ctx, func(ctx context.Context) error {
+		return c.do(ctx, permit.Check, "rent", "POST", "/machines", request, &rented)
+	})
 	return rented.Machines, err
 }
 
 // Release returns machines; after nil they are gone with all that was on
 // them.
-func (c *Client) Release(ctx context.Context, machines []wire.MachineID) error {
-	return c.do(ctx, "release", "POST", "/machines/release", wire.MachineNames{Machines: machines}, nil)
+func (c *Client) Release(ctx context.Context, permit duty.Permit[duty.Returning], machines []wire.MachineID) error {
+	return permit.Do(ctx, func(ctx context.Context) error {
+		return c.do(ctx, permit.Check, "release", "POST", "/machines/release", wire.MachineNames{Machines: machines}, nil)
+	})
 }
 
 // List reads the whole machine list.
@@ -150,7 +163,7 @@
 			query.Set("after", after)
 		}
 		var page wire.MachinePage
-		if err := c.do(ctx, "list", "GET", "/machines?"+query.Encode(), nil, &page); err != nil {
+		if err := c.do(ctx, unguarded, "list", "GET", "/machines?"+query.Encode(), nil, &page); err != nil {
 			return nil, err
 		}
 		all = append(all, page.Machines...)
--- a/internal/compat/keys_test.go
+++ b/internal/compat/keys_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lilaclead/duty"
 	"lilaclead/internal/admin"
 	"lilaclead/internal/cancels"
 	"lilaclead/internal/leader"
@@ -45,6 +46,9 @@
 		{"chunk", store.ChunkRecord{Next: 17, Done: []int{0, 3}, Held: []store.HeldAttempt{{Task: 4, Attempt: 12, Machine: "n-000231"}}, SubchunkTasks: 64}},
 		{"held", store.HeldAttempt{Task: 5, Attempt: 13, Machine: "n-000232"}},
 		{"past", store.PastRecord{Status: wire.Done, Done: 1600}},
+		{"bookings", duty.IntentRecord[leader.RentIntent]{Token: 43, At: 1796000000124, Open: []leader.RentIntent{{Request: wire.RentalRequest{Name: "b-43-1", Type: "g8", Zone: "a", Spot: true, Count: 9}, Since: 1796000000125}}}},
+		{"booking, recorded", leader.RentIntent{Request: wire.RentalRequest{Name: "b-43-2", Type: "g8", Zone: "b", Spot: true, Count: 8}, Since: 1796000000126}},
+		{"returns", duty.IntentRecord[wire.MachineID]{Token: 44, At: 1796000000127, Open: []wire.MachineID{"n-000231", "n-000232"}}},
 		{"lead", store.LeadRecord{Node: "worker-2", Nonce: "c0ffee"}},
 
 		{"beat", fullBeat()},
@@ -304,7 +308,8 @@
 func TestEveryTypeHasASample(t *testing.T) {
 	sampled := map[string]bool{}
 	for _, s := range samples() {
-		sampled[reflect.TypeOf(s.value).String()] = true
+		name, _, _ := strings.Cut(reflect.TypeOf(s.value).String(), "[") // of a generic type, without its parameters
+		sampled[name] = true
 	}
 	var others []string
 	for _, found := range taggedStructs(t, "../..") {
@@ -426,13 +431,15 @@
 // What records lie under in the state service.
 func TestStoredUnderTheSameKeys(t *testing.T) {
 	for got, want := range map[string]string{
-		store.JobKey("req-1"):            "job/req-1",
-		store.ChunkKey("req-1", 2):       "run/req-1/2",
-		store.SubchunkKey("req-1", 2, 3): "run/req-1/2/3",
-		store.PastKey("req-1"):           "past/req-1",
-		store.LeadKey:                    "lead",
-		store.FlavorsKey:                 "fact/flavors",
-		store.SettingsKey:                "fact/settings",
+		store.JobKey("req-1"):                   "job/req-1",
+		store.ChunkKey("req-1", 2):              "run/req-1/2",
+		store.SubchunkKey("req-1", 2, 3):        "run/req-1/2/3",
+		store.PastKey("req-1"):                  "past/req-1",
+		store.LeadKey:                           "lead",
+		duty.IntentKey(duty.Renting{}.Name()):   "intent/renting",
+		duty.IntentKey(duty.Returning{}.Name()): "intent/returning",
+		store.FlavorsKey:                        "fact/flavors",
+		store.SettingsKey:                       "fact/settings",
 	} {
 		if got != want {
 			t.Errorf("stored under %q, not %q", got, want)
--- a/internal/leader/election/election_test.go
+++ b/internal/leader/election/election_test.go
@@ -60,8 +60,8 @@
 		withState(t, func(ctx context.Context, st *simulator.State, process func(int) *Candidate) {
 			first := process(0).Campaign(ctx)
 			lost := keep(ctx, first)
-			next := make(chan *Lease, 1)
-			go func() { next <- process(1).Campaign(ctx) }()
+			next, other := make(chan *Lease, 1), process(1)
+			go func() { next <- other.Campaign(ctx) }()
 			st.DelayAnswers(simulator.NodeIP(0), late)
 			time.Sleep(10 * time.Second)
 			if !first.Deciding() || len(next) > 0 {
@@ -83,7 +83,7 @@
 			if err := <-lost; !errors.Is(err, ErrGrantGone) {
 				t.Errorf("answers %v late: lost by %v", late, err)
 			}
-			if got := second.candidate.Holder(time.Now(), time.Second); got != "" {
+			if got := other.Holder(time.Now(), time.Second); got != "" {
 				t.Errorf("the leader knows %q as another leader", got)
 			}
 		})
--- a/internal/leader/election/lease_test.go
+++ b/internal/leader/election/lease_test.go
@@ -16,7 +16,7 @@
 	started := now.Add(-40 * time.Second)
 	at := func(s float64) time.Time { return started.Add(time.Duration(s * float64(time.Second))) }
 	// Its last good renewal was asked for 10 s into the term.
-	l := NewLease(nil, Terms{TakenAt: started, DecidesUntil: DecidesUntil(at(10))})
+	l := NewLease(nil, Terms{TakenAt: started, HeldUntil: DecidesUntil(at(10))})
 	for _, c := range []struct{ b, c, want float64 }{{39.5, 39.5, 44}, {39.5, 20, 32}, {39.5, 33, 37}, {0, 0, 32}} {
 		oldest := at(min(c.b, c.c))
 		if got := l.outageLimit(oldest, 22*time.Second).Round(time.Second).Seconds(); got != math.Round(c.want) && got != math.Round(c.want-0.5) {
--- a/internal/leader/fleet_plan.go
+++ b/internal/leader/fleet_plan.go
@@ -15,6 +15,8 @@
 // planFleet rents for what can't be placed and returns what is not needed.
 func (t *term) planFleet(now time.Time) {
 	specs := t.l.Flavors.Get()
+	t.recordBookings(now)
+	t.clearReturns(now)
 	if !t.recovered || !t.placing || !t.listReceived || !t.lease.Deciding() || specs == nil || t.rentals.Paused(now) {
 		return
 	}
@@ -26,6 +28,7 @@
 			t.rent(r)
 		}
 	}
+	t.recordBookings(now)
 	for _, m := range candidates {
 		m.cordoned = false
 	}
@@ -64,7 +67,7 @@
 	}
 	s.Machines = t.appendBooked(s.Machines)
 	// What an earlier leader rented last is not listed yet.
-	if now.Sub(t.startedAt) > t.settings.Cloud.ListLagS.Duration()+time.Second {
+	if t.mayRent() && now.Sub(t.startedAt) > t.settings.Cloud.ListLagS.Duration()+time.Second {
 		s.Offers = t.offers(specs, now)
 	}
 	s.Demands = t.demands(now, v.StretchShare, v.SpareUnits)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -51,6 +51,8 @@
 	Metrics Metrics
 	// Undecodable is told of records and reports that can't be decoded.
 	Undecodable *undecodable.Log
+	// RecordIntents has what is asked of the cloud recorded before it is sent.
+	RecordIntents bool
 	// Sockets is how many connections may go to workers at a time, Workers how
 	// many of them one node can hold, and Needed the limit that more need.
 	Sockets int
--- a/internal/leader/reasons.go
+++ b/internal/leader/reasons.go
@@ -27,6 +27,7 @@
 	drainInboundLost   drainReason = "receives nothing"
 	drainOutboundLost  drainReason = "its reports don't arrive"
 	drainLeaseEnds     drainReason = "its lease ends while its zone is partitioned"
+	drainReturning     drainReason = "an earlier leader was returning it"
 	drainUncancellable drainReason = "a cancelled task could not be stopped"
 )
 
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -15,16 +15,22 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		jobs, rev, err := t.l.Store.List(ctx, store.Background, store.JobPrefix)
+		var runs []wire.Entry
 		if err == nil {
-			var runs []wire.Entry
-			if runs, _, err = t.l.Store.List(ctx, store.Background, store.RunPrefix); err == nil {
-				t.post(func() {
-					t.loadRecords(jobs, runs)
-					t.l.Cancels.RecordRead(began)
-				})
-				t.follow(ctx, rev)
-				return
-			}
+			runs, _, err = t.l.Store.List(ctx, store.Background, store.RunPrefix)
+		}
+		var earlier earlierIntents
+		if err == nil && t.intents != nil {
+			earlier, err = t.intents.load(ctx)
+		}
+		if err == nil {
+			t.post(func() {
+				t.loadRecords(jobs, runs)
+				t.adopt(earlier)
+				t.l.Cancels.RecordRead(began)
+			})
+			t.follow(ctx, rev)
+			return
 		}
 		t.log().Info("recovery: state service refuses", "err", err)
 		select {
--- a/internal/leader/releases.go
+++ b/internal/leader/releases.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lilaclead/duty"
 	"lilaclead/internal/wire"
 )
 
@@ -33,33 +34,50 @@
 // sendReleases sends the next request to release, if none is under way, and
 // repeats it until the cloud has answered.
 func (t *term) sendReleases() {
-	ids := t.rentals.NextRelease()
+	ids := t.rentals.NextRelease(t.returnsAtOnce())
 	if len(ids) == 0 {
 		return
 	}
 	go func() {
-		wait := minReleaseRetry
-		for t.ctx.Err() == nil {
-			err := t.l.Cloud.Release(t.ctx, ids)
-			if err == nil {
-				t.post(func() { t.onReleased(ids) })
-				return
-			}
-			t.log().Debug("release not answered", "machines", len(ids), "err", err)
-			select {
-			case <-t.ctx.Done():
-			case <-time.After(wait + rand.N(wait/2)):
-			}
-			wait = min(2*wait, maxReleaseRetry) // one request at a time, whatever waits
+		if t.recordReturns(ids) && t.returnMachines(ids) {
+			t.post(func() { t.onReleased(ids) })
 		}
 	}()
 }
 
+// returnMachines keeps asking the cloud until it has answered that the machines are
+// gone, and only while the lease is held; false: the term is over.
+func (t *term) returnMachines(ids []wire.MachineID) bool {
+	wait := minReleaseRetry
+	for t.ctx.Err() == nil {
+		err := t.requestRelease(ids)
+		if err == nil {
+			return true
+		}
+		t.log().Debug("release not answered", "machines", len(ids), "err", err)
+		t.pause(wait + rand.N(wait/2))
+		wait = min(2*wait, maxReleaseRetry) // one request at a time, whatever waits
+	}
+	return false
+}
+
+// requestRelease asks the cloud once, if the lease is held.
+func (t *term) requestRelease(ids []wire.MachineID) error {
+	permit, err := duty.For[duty.Returning](t.lease.Lease)
+	if err != nil {
+		return err
+	}
+	return t.l.Cloud.Release(t.ctx, permit, ids)
+}
+
 // onReleased takes in that machines are gone, and with them what ran there.
 func (t *term) onReleased(ids []wire.MachineID) {
 	for _, id := range ids {
 		t.forgetMachine(t.machines[id])
 	}
+	if t.intents != nil {
+		t.intents.returnedAt = time.Now()
+	}
 	t.rentals.Released()
 	t.sendReleases()
 }
--- a/internal/leader/rentals.go
+++ b/internal/leader/rentals.go
@@ -1,9 +1,11 @@
 package leader
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
+	"lilaclead/duty"
 	"lilaclead/internal/fleet"
 	"lilaclead/internal/leader/rentals"
 	"lilaclead/internal/placement"
@@ -46,27 +48,40 @@
 	return placement.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB}
 }
 
-// rent books machines and keeps asking under the same name until the cloud
-// has answered.
+// rent books machines, once that is recorded if it is to be.
 func (t *term) rent(r fleet.Rent) {
 	b := t.rentals.Book(r, time.Now())
 	t.log().Info("rents", "type", b.Type, "zone", b.Zone, "spot", b.Spot, "count", b.Count, "for", r.For, "booking", b.Name)
-	go func() {
-		var tries rentals.Tries
-		wait := minBookingRetry
-		for t.ctx.Err() == nil {
-			machines, err := t.l.Cloud.Rent(t.ctx, b.RentalRequest)
-			if tries.Final(err) {
-				t.post(func() { t.onBookingAnswer(b, machines, err) })
-				return
-			}
-			select {
-			case <-t.ctx.Done():
-			case <-time.After(wait + rand.N(wait/2)):
-			}
-			wait = min(2*wait, maxBookingRetry)
+	if t.intents != nil {
+		t.intents.unrecorded = append(t.intents.unrecorded, b)
+		return
+	}
+	go t.book(b)
+}
+
+// book keeps asking for machines under the booking's name until the cloud has
+// answered, and only while the lease is held.
+func (t *term) book(b *rentals.Booking) {
+	var tries rentals.Tries
+	wait := minBookingRetry
+	for t.ctx.Err() == nil {
+		machines, err := t.requestMachines(b)
+		if !errors.Is(err, duty.ErrNotHeld) && tries.Final(err) {
+			t.post(func() { t.onBookingAnswer(b, machines, err) })
+			return
 		}
-	}()
+		t.pause(wait + rand.N(wait/2))
+		wait = min(2*wait, maxBookingRetry)
+	}
+}
+
+// requestMachines asks the cloud once, if the lease is held.
+func (t *term) requestMachines(b *rentals.Booking) ([]wire.MachineID, error) {
+	permit, err := duty.For[duty.Renting](t.lease.Lease)
+	if err != nil {
+		return nil, err
+	}
+	return t.l.Cloud.Rent(t.ctx, permit, b.RentalRequest)
 }
 
 // onBookingAnswer takes in the final answer to a booking.
@@ -75,7 +90,9 @@
 	switch outcome {
 	case rentals.Filled, rentals.PartlyFilled:
 		t.l.Metrics.Fleet("rented", len(machines))
-		t.addRented(b, machines)
+		if t.maybeUnlisted(b) {
+			t.addRented(b, machines)
+		}
 		if outcome == rentals.PartlyFilled {
 			t.log().Info("booking only partly filled", "booking", b.Name, "got", len(machines), "of", b.Count)
 		}
@@ -86,6 +103,16 @@
 	}
 }
 
+// listLagTimes: a list is at most so many times older than the settings say.
+const listLagTimes = 2
+
+// maybeUnlisted tells whether the machines of a booking may be in no list yet. Those
+// of one that an earlier leader sent longer ago are, unless they are gone.
+func (t *term) maybeUnlisted(b *rentals.Booking) bool {
+	lag := t.settings.Cloud.ListLagS.Duration()*listLagTimes + time.Second
+	return !b.Adopted || time.Since(b.Since) < lag
+}
+
 // addRented adds the machines of a booking to the inventory. They may have
 // reported, or be gone again, before the booking's answer came.
 func (t *term) addRented(b *rentals.Booking, machines []wire.MachineID) {
--- a/internal/leader/rentals/rentals.go
+++ b/internal/leader/rentals/rentals.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// MaxBooking and maxRelease are the cloud's bounds for one request.
+	// MaxBooking and MaxRelease are the cloud's bounds for one request.
 	MaxBooking = 50
-	maxRelease = 100
+	MaxRelease = 100
 
 	// partlyFilledRest is how long an offer rests that gave less than was booked.
 	partlyFilledRest = 8 * time.Second
@@ -41,6 +41,8 @@
 type Booking struct {
 	wire.RentalRequest
 	Since time.Time
+	// Adopted: an earlier leader made it.
+	Adopted bool
 }
 
 // Offer that the booking is for.
@@ -74,11 +76,21 @@
 func (t *Tracker) Book(r fleet.Rent, now time.Time) *Booking {
 	t.sequence++
 	name := fmt.Sprintf("b-%d-%d", t.token, t.sequence)
-	b := &Booking{wire.RentalRequest{Name: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: r.Count}, now}
+	b := &Booking{RentalRequest: wire.RentalRequest{Name: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: r.Count}, Since: now}
 	t.bookings[name] = b
 	return b
 }
 
+// Adopt notes a booking that an earlier leader made, under the name that it gave.
+func (t *Tracker) Adopt(request wire.RentalRequest, since time.Time) *Booking {
+	b := &Booking{RentalRequest: request, Since: since, Adopted: true}
+	t.bookings[request.Name] = b
+	return b
+}
+
+// Withdraw forgets a booking that was not sent.
+func (t *Tracker) Withdraw(b *Booking) { delete(t.bookings, b.Name) }
+
 // Bookings are those that are not yet answered, in no order.
 func (t *Tracker) Bookings() []*Booking {
 	out := make([]*Booking, 0, len(t.bookings))
@@ -175,16 +187,25 @@
 func (t *Tracker) Release(id wire.MachineID) { t.toRelease = append(t.toRelease, id) }
 
 // NextRelease is the request to be sent now, none if one is under way: what comes
-// meanwhile shares the next one.
-func (t *Tracker) NextRelease() []wire.MachineID {
-	if t.releasing || len(t.toRelease) == 0 {
+// meanwhile shares the next one. It names most machines, or the cloud's bound.
+func (t *Tracker) NextRelease(most int) []wire.MachineID {
+	if len(t.toRelease) == 0 || !t.StartRelease() {
 		return nil
 	}
-	n := min(len(t.toRelease), maxRelease)
+	n := min(len(t.toRelease), MaxRelease, most)
 	ids := t.toRelease[:n:n]
-	t.toRelease, t.releasing = t.toRelease[n:], true
+	t.toRelease = t.toRelease[n:]
 	return ids
 }
 
+// StartRelease notes that a request is under way; false: one is already.
+func (t *Tracker) StartRelease() bool {
+	if t.releasing {
+		return false
+	}
+	t.releasing = true
+	return true
+}
+
 // Released notes that the request under way was answered.
 func (t *Tracker) Released() { t.releasing = false }
--- a/internal/leader/rentals/rentals_test.go
+++ b/internal/leader/rentals/rentals_test.go
@@ -111,19 +111,19 @@
 		want = append(want, id)
 		tr.Release(id)
 		if i == 0 {
-			got = append(got, tr.NextRelease()...)
+			got = append(got, tr.NextRelease(MaxRelease)...)
 		}
 	}
 	if len(got) != 1 {
 		t.Fatalf("the first request names %v", got)
 	}
 	for range 4 {
-		if ids := tr.NextRelease(); ids != nil {
+		if ids := tr.NextRelease(MaxRelease); ids != nil {
 			t.Fatalf("a second request beside one: %v", ids)
 		}
 		tr.Released()
-		ids := tr.NextRelease()
-		if len(ids) > maxRelease {
+		ids := tr.NextRelease(MaxRelease)
+		if len(ids) > MaxRelease {
 			t.Fatalf("%d machines in one request", len(ids))
 		}
 		got = append(got, ids...)
--- a/internal/leader/safety_test.go
+++ b/internal/leader/safety_test.go
@@ -26,7 +26,7 @@
 // leaseFor is a lease that was just taken and decides for so long.
 func leaseFor(l *Leader, token wire.Token, d time.Duration) *election.Lease {
 	now := time.Now()
-	return election.NewLease(l.candidate, election.Terms{Token: token, TakenAt: now, DecidesUntil: now.Add(d)})
+	return election.NewLease(l.candidate, election.Terms{Token: token, TakenAt: now, HeldUntil: now.Add(d)})
 }
 
 // rig is a term without I/O, with one job of one task held on one machine.
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -81,7 +81,8 @@
 	roundTook       time.Duration // the last one
 
 	rentals  *rentals.Tracker
-	backlogS float64 // seconds in which the room there is would do what waits
+	intents  *cloudIntents // nil: they are not recorded
+	backlogS float64       // seconds in which the room there is would do what waits
 }
 
 func newTerm(l *Leader, lease *election.Lease) *term {
@@ -95,6 +96,9 @@
 		claimed:      map[*machine]struct{}{}, cancelledJobs: map[*job]struct{}{}, incompleteGangs: map[*job]struct{}{}, recentGangs: map[gangSize]recentGang{},
 	}
 	t.rentals = rentals.New(lease.Token())
+	if l.RecordIntents {
+		t.intents = newCloudIntents(t)
+	}
 	t.writer = newWriter(&t.settings.State, t.log())
 	t.writer.withdraw, t.writer.isAside = t.withdrawStart, t.isAside
 	t.writer.budget = func() float64 {
@@ -264,7 +268,7 @@
 	heard, missing := 0, 0
 	for _, m := range t.machines {
 		switch {
-		case m.booting:
+		case m.booting, m.drainReason == drainReturning:
 		case m.token >= t.firstToken:
 			heard++
 		case m.unansweredProbes == 0 && (m.addr != "" || !t.listReceived):
--- a/internal/scenarios/helpers_deployment_test.go
+++ b/internal/scenarios/helpers_deployment_test.go
@@ -17,18 +17,30 @@
 	"lilaclead/internal/wire"
 )
 
-// startController makes a real controller for a simulated deployment. With
-// SCENARIO_LOG set its log goes to standard error.
+// startController makes a real controller for a simulated deployment, with the optional
+// parts that are on in the deploy file. With SCENARIO_LOG set its log goes to standard
+// error.
 func startController(cfg *config.Config, nw netio.Net) (func(context.Context) error, error) {
-	options := lilaclead.Options{Net: nw, Log: io.Discard}
-	if os.Getenv("SCENARIO_LOG") != "" {
-		options.Log = os.Stderr
-	}
-	n, err := lilaclead.New(cfg, options)
+	deployed, err := lilaclead.LoadFeatures("../../deploy/features.toml")
 	if err != nil {
 		return nil, err
 	}
-	return n.Run, nil
+	return startWith(deployed)(cfg, nw)
+}
+
+// startWith makes controllers with optional parts of the test's own.
+func startWith(features lilaclead.Features) simulator.StartFunc {
+	return func(cfg *config.Config, nw netio.Net) (func(context.Context) error, error) {
+		options := lilaclead.Options{Net: nw, Log: io.Discard, Features: features}
+		if os.Getenv("SCENARIO_LOG") != "" {
+			options.Log = os.Stderr
+		}
+		n, err := lilaclead.New(cfg, options)
+		if err != nil {
+			return nil, err
+		}
+		return n.Run, nil
+	}
 }
 
 // scenarioRunner runs a script on a deployment with one layout of zones and
@@ -79,10 +91,23 @@
 
 // runWithControllersIn is runWithSettings with controllers in some zones only.
 func runWithControllersIn(t *testing.T, set config.Settings, zones []wire.Zone, seed uint64, script func(sim *simulator.Simulation, at func(time.Duration))) {
+	t.Helper()
+	runDeployment(t, set, zones, seed, startController, script)
+}
+
+// runWithFeatures is runScenario with optional parts of the test's own.
+func runWithFeatures(t *testing.T, features lilaclead.Features, seed uint64, script func(sim *simulator.Simulation, at func(time.Duration))) {
+	t.Helper()
+	set := simulator.DefaultSettings()
+	runDeployment(t, set, set.Zones, seed, startWith(features), script)
+}
+
+// runDeployment runs a script on a deployment of controllers that start makes.
+func runDeployment(t *testing.T, set config.Settings, zones []wire.Zone, seed uint64, start simulator.StartFunc, script func(sim *simulator.Simulation, at func(time.Duration))) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		sim := simulator.New(ctx, set, seed, startController, nil)
+		sim := simulator.New(ctx, set, seed, start, nil)
 		sim.PlaceControllers(zones...)
 		begin := time.Now()
 		for i := range set.Size {
--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -51,18 +51,17 @@
 		wire.Answer(rw, http.StatusServiceUnavailable, wire.Reason{Error: "trouble"})
 		return
 	}
+	if sim.holdBack(r, raw) {
+		panic(http.ErrAbortHandler)
+	}
 	switch r.URL.Path {
 	case "/flavors":
 		wire.Answer(rw, http.StatusOK, wire.MachineSpecs{Types: sim.machineTypes})
 	case "/machines/release":
-		var h wire.MachineNames
-		if wire.Decode(raw, &h) != nil || len(h.Machines) > 100 {
+		if !sim.release(raw) {
 			wire.Answer(rw, http.StatusBadRequest, wire.Reason{Error: "malformed"})
 			return
 		}
-		for _, id := range h.Machines {
-			sim.remove(id)
-		}
 		if sim.loseReleaseAnswers > 0 {
 			sim.loseReleaseAnswers--
 			panic(http.ErrAbortHandler)
@@ -77,6 +76,18 @@
 	}
 }
 
+// release takes machines away; false: the request is malformed.
+func (sim *Simulation) release(raw []byte) bool {
+	var h wire.MachineNames
+	if wire.Decode(raw, &h) != nil || len(h.Machines) > 100 {
+		return false
+	}
+	for _, id := range h.Machines {
+		sim.remove(id)
+	}
+	return true
+}
+
 // list answers with the machines as they were a while ago.
 func (sim *Simulation) list(rw http.ResponseWriter, r *http.Request) {
 	now := time.Now()
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -66,6 +66,7 @@
 	cloudOutage        bool
 	loseReleaseAnswers int
 	loseRentalAnswers  int
+	late               lateRequests
 	linkDelay          time.Duration
 	unlisted           bool
 	slowSaves          bool
--- a/internal/simulator/state_service.go
+++ b/internal/simulator/state_service.go
@@ -85,6 +85,45 @@
 	s.notify()
 }
 
+// Revision of a key, 0 if there is none, for tests.
+func (s *State) Revision(key string) wire.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.keys[key]; e != nil {
+		return e.stamp
+	}
+	return 0
+}
+
+// Changes counts those that are still kept, of keys with a prefix.
+func (s *State) Changes(prefix string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.changes {
+		if strings.HasPrefix(c.c.Put+c.c.Delete, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// LastRevision counts every change.
+func (s *State) LastRevision() wire.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Value of a key, nil if there is none, for tests.
+func (s *State) Value(key string) wire.Raw {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.keys[key]; e != nil {
+		return e.v
+	}
+	return nil
+}
+
 // Keys lists the keys with a prefix, for tests.
 func (s *State) Keys(prefix string) []string {
 	s.mu.Lock()
--- a/node.go
+++ b/node.go
@@ -16,10 +16,12 @@
 	"strings"
 	"time"
 
+	"lilaclead/duty"
 	"lilaclead/internal/admin"
 	"lilaclead/internal/cancels"
 	"lilaclead/internal/cloud"
 	"lilaclead/internal/config"
+	"lilaclead/internal/features"
 	"lilaclead/internal/intake"
 	"lilaclead/internal/leader"
 	"lilaclead/internal/netio"
@@ -36,10 +38,27 @@
 // LoadConfig reads and checks a settings file.
 func LoadConfig(path string) (*Config, error) { return config.Load(path) }
 
+// Features says which optional parts are on.
+type Features = features.Features
+
+// LoadFeatures reads and checks a file of optional parts; without one all are off.
+func LoadFeatures(path string) (Features, error) { return features.Load(path) }
+
+// FeaturesPathBeside is where that file lies for a program that was built as
+// deploy/service.toml says.
+func FeaturesPathBeside(program string) string { return features.PathBeside(program) }
+
+// StateService is a client of the deployment's state service, for programs that hold
+// a duty of their own (package duty).
+func StateService(cfg *Config) duty.Store {
+	return store.New(cfg.Endpoints.State, cfg.Settings.State.Least(), cfg.Settings.Size, netio.Real())
+}
+
 // Node is one controller.
 type Node struct {
 	cfg         *config.Config
 	net         netio.Net
+	features    Features
 	log         *slog.Logger
 	level       *slog.LevelVar
 	base        slog.Level
@@ -56,10 +75,11 @@
 }
 
 // Options of a node; the zero value is the machine's own network and standard
-// error.
+// error, with all optional parts off.
 type Options struct {
-	Net netio.Net
-	Log io.Writer
+	Net      netio.Net
+	Log      io.Writer
+	Features Features
 }
 
 // New makes a node; it does nothing until Run.
@@ -73,7 +93,7 @@
 	if opt.Log == nil {
 		opt.Log = os.Stderr
 	}
-	n := &Node{cfg: cfg, net: opt.Net, level: &slog.LevelVar{}, flavors: &leader.FlavorBox{}, tuning: tuning.NewBox()}
+	n := &Node{cfg: cfg, net: opt.Net, features: opt.Features, level: &slog.LevelVar{}, flavors: &leader.FlavorBox{}, tuning: tuning.NewBox()}
 	n.base = Level(os.Getenv("LOG_LEVEL"))
 	n.level.Set(n.base)
 	n.log = slog.New(slog.NewTextHandler(opt.Log, &slog.HandlerOptions{Level: n.level})).With("node", cfg.HostName)
@@ -92,7 +112,8 @@
 	n.leader = leader.New(leader.Deps{
 		Config: cfg, Net: n.net, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Cancels: cancelled,
 		Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: metrics.Leader(), Undecodable: n.undecodable,
-		Sockets: n.sockets.direct, Workers: n.sockets.workers(),
+		RecordIntents: opt.Features.RecordIntents,
+		Sockets:       n.sockets.direct, Workers: n.sockets.workers(),
 		Needed: func(workers int) int { return socketsNeeded(workers, settings.Limits, settings.Size) },
 	})
 	n.intake = intake.New(settings, n.store, cancelled, n.flavors.Get, n.log)
@@ -183,7 +204,7 @@
 	errs := make(chan error, 2)
 	go func() { errs <- frontServer.Serve(bounded) }()
 	go func() { errs <- peerServer.Serve(peers) }()
-	n.log.Info("serves", "front", n.cfg.Front, "peers", n.cfg.PeerBind)
+	n.log.Info("serves", "front", n.cfg.Front, "peers", n.cfg.PeerBind, "features", n.features)
 	select {
 	case err = <-errs:
 	case <-ctx.Done():
