--- a/internal/leader/size_test.go
+++ b/internal/leader/size_test.go
@@ -246,3 +246,94 @@
 		}
 	}
 }
+
+// largestFleet is more than the largest fleet that one program is to serve.
+const largestFleet = 4200
+
+// reportAll takes a report from every machine, through the handler, and tells how many
+// of them were answered.
+func reportAll(tm *term) (answered int) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for call := range tm.reportCalls {
+			tm.onReport(call)
+		}
+	}()
+	reports := make([]wire.Report, 0, len(tm.machines))
+	for _, m := range tm.machines {
+		reports = append(reports, reportOf(m))
+	}
+	for _, rep := range reports {
+		w := httptest.NewRecorder()
+		tm.l.serve(context.Background(), w, tm, rep, false)
+		if w.Code == 200 {
+			answered++
+		}
+	}
+	close(tm.reportCalls)
+	<-done
+	return answered
+}
+
+// 4,200 machines, all of them occupied, report to one leader, and then to the next
+// one, which reads the records and goes on with all that runs. No record, report or view
+// on the way is over a limit.
+func TestFourThousandMachines(t *testing.T) {
+	tm := sized(t, largestFleet)
+	if n := reportAll(tm); n != largestFleet {
+		t.Fatalf("%d reports were answered", n)
+	}
+	var jobs, runs []wire.Entry
+	held := 0
+	for _, j := range tm.jobs {
+		held += j.held
+		jobs = append(jobs, wire.Entry{Key: store.JobKey(j.spec.ID), Revision: j.revision, Value: wire.Encode(store.JobRecord{Spec: j.spec, Status: wire.Queued, At: wire.TimestampOf(j.acceptedAt)})})
+		rec := j.chunk(0).record()
+		if limit := tm.writer.valueLimit(); rec.JSONSize() > limit {
+			t.Errorf("a record of %d bytes, over %d", rec.JSONSize(), limit)
+		}
+		runs = append(runs, wire.Entry{Key: store.ChunkKey(j.spec.ID, 0), Revision: j.revision, Value: wire.Encode(rec)})
+	}
+	next := newTerm(tm.l, leaseFor(tm.l, 51, time.Hour))
+	next.ctx = tm.ctx
+	began := time.Now()
+	next.loadRecords(jobs, runs)
+	recovery := time.Since(began)
+	listed := make([]wire.ListedMachine, 0, largestFleet)
+	for _, m := range tm.machines {
+		listed = append(listed, wire.ListedMachine{Name: m.id, Addr: m.addr, Type: m.machineType, Zone: m.zone, Spot: m.spot, State: wire.ListedRunning, Age: 120})
+	}
+	next.onMachineList(listed)
+	for id, m := range next.machines {
+		m.session, m.sequence, m.token = 1, tm.machines[id].sequence, next.token
+	}
+	began = time.Now()
+	if n := reportAll(next); n != largestFleet {
+		t.Errorf("%d reports were answered by the next leader", n)
+	}
+	reports := time.Since(began)
+	next.placing = true
+	began = time.Now()
+	next.round(time.Now())
+	round := time.Since(began)
+	if now := heldTasks(next); now != held || held < largestFleet {
+		t.Errorf("%d tasks are held, %d were", now, held)
+	}
+	view := next.view(time.Now())
+	if len(view.Machines) != largestFleet || len(view.Jobs) != len(tm.jobs) {
+		t.Errorf("%d machines and %d jobs in view", len(view.Machines), len(view.Jobs))
+	}
+	var read View
+	if raw := wire.Encode(view); wire.Decode(raw, &read) != nil || len(read.Machines) != largestFleet {
+		t.Errorf("a view of %d bytes can't be read", len(raw))
+	}
+	t.Logf("%d machines, %d tasks: recovery %v, a report from each %v, a round %v", largestFleet, held, recovery, reports, round)
+}
+
+func heldTasks(tm *term) (n int) {
+	for _, j := range tm.jobs {
+		n += j.held
+	}
+	return n
+}
--- a/internal/leader/view.go
+++ b/internal/leader/view.go
@@ -94,21 +94,12 @@
 		"tasks_held", held, "tasks_waiting", tasks-held-done, "backlog_s", int(t.backlogS), "round", t.roundTook, "late", time.Since(now))
 }
 
-// viewMost bounds the view of a large cluster.
-const viewLimit = 500
-
 func (t *term) view(now time.Time) *View {
 	v := &View{Deciding: t.lease.Deciding(), Bookings: len(t.rentals.Bookings())}
 	for _, m := range t.machines {
-		if len(v.Machines) == viewLimit {
-			break
-		}
 		v.Machines = append(v.Machines, MachineView{m.id, m.machineType, m.zone, m.spot, m.booting, string(m.drainReason), len(m.tasks), t.silence(m, now).Seconds(), t.free(m).CPUs})
 	}
 	for _, j := range t.jobs {
-		if len(v.Jobs) == viewLimit {
-			break
-		}
 		v.Jobs = append(v.Jobs, JobView{j.spec.ID, j.spec.Class, j.spec.Team, j.spec.Tasks, j.done, j.held, j.failures, now.Sub(j.acceptedAt).Seconds(), j.cancelled})
 	}
 	slices.SortFunc(v.Machines, func(a, b MachineView) int { return strings.Compare(string(a.Name), string(b.Name)) })
--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 	"sort"
+	"strconv"
 	"time"
 
 	"lilaclead/internal/wire"
@@ -99,11 +101,7 @@
 	page := wire.MachinePage{Machines: []wire.ListedMachine{}}
 	for i := len(sim.listHistory) - 1; i >= 0; i-- {
 		if now.Sub(sim.listHistory[i].at) >= lag {
-			for _, h := range sim.listHistory[i].hosts {
-				if string(h.Name) > r.URL.Query().Get("after") {
-					page.Machines = append(page.Machines, h)
-				}
-			}
+			page = pageOf(sim.listHistory[i].hosts, r.URL.Query())
 			break
 		}
 	}
@@ -113,6 +111,29 @@
 	wire.Answer(rw, http.StatusOK, page)
 }
 
+// maxPage is how many machines a page has at most.
+const maxPage = 500
+
+// pageOf is the part of a list that the query asks for.
+func pageOf(hosts []wire.ListedMachine, query url.Values) wire.MachinePage {
+	page := wire.MachinePage{Machines: []wire.ListedMachine{}}
+	most := maxPage
+	if asked, err := strconv.Atoi(query.Get("page")); err == nil && asked > 0 {
+		most = min(most, asked)
+	}
+	for _, h := range hosts {
+		if string(h.Name) <= query.Get("after") {
+			continue
+		}
+		if len(page.Machines) == most {
+			page.Truncated = true
+			break
+		}
+		page.Machines = append(page.Machines, h)
+	}
+	return page
+}
+
 // rent answers a rental; a repeated one gets the same machines.
 func (sim *Simulation) rent(rw http.ResponseWriter, raw []byte) {
 	var b wire.RentalRequest
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -38,6 +38,8 @@
 	ErrUnknown = errors.New("state: outcome unknown")
 	// ErrTooOld: the watch asks for changes that are no longer kept.
 	ErrTooOld = errors.New("state: revision too old")
+	// ErrTooLarge: the answer is larger than this client takes.
+	ErrTooLarge = errors.New("state: answer too large")
 	// ErrInvalid: the service calls the request malformed.
 	ErrInvalid = errors.New("state: request refused as invalid")
 )
@@ -190,6 +192,9 @@
 	defer cancel()
 	var raw []byte
 	status, raw, _, err = netio.Call(ctx, hc, method, c.base+path, body, maxAnswer)
+	if errors.Is(err, wire.ErrTooLarge) {
+		return 0, ErrTooLarge
+	}
 	if err != nil {
 		c.lastRefusal.Store(int64(time.Since(c.started)))
 		if wire.NotSent(err) {
@@ -347,6 +352,11 @@
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("%w: status %d", ErrUnknown, status)
 	}
+	if errors.Is(err, ErrTooLarge) {
+		// The same question would get as much again, for ever; reading the keys anew
+		// goes page by page.
+		err = ErrTooOld
+	}
 	// The service promises no order; the newest value of a key must come last.
 	slices.SortStableFunc(res.Events, func(a, b wire.Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	return res, err
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -100,3 +100,27 @@
 		nw.Close()
 	})
 }
+
+// Changes that are too many for one answer are not asked for again and again: who
+// follows them reads the keys anew, page by page.
+func TestChangesTooLarge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, st := simulator.NewNetwork(time.Millisecond), simulator.NewState(12, 16)
+		c := store.New(simulator.StateAddr, config.State{RPS: 100, WriteRPS: 10, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
+		srv := serve(t, nw, st)
+		st.Put("job/a", 1)
+		for range 600 {
+			st.Put("job/b", make([]byte, 15<<10))
+		}
+		if _, err := c.Watch(t.Context(), "job/", 0, time.Second); !errors.Is(err, store.ErrTooOld) {
+			t.Errorf("9 MB of changes: %v", err)
+		}
+		if all, _, err := c.List(t.Context(), store.Background, "job/"); err != nil || len(all) != 2 {
+			t.Errorf("read anew: %d keys, %v", len(all), err)
+		}
+		nw.Close()
+		srv.Close()
+		time.Sleep(5 * time.Second)
+		nw.Close()
+	})
+}
--- a/internal/wire/cbor.go
+++ b/internal/wire/cbor.go
@@ -16,6 +16,11 @@
 // ContentType is sent with every body.
 const ContentType = "application/cbor"
 
+// maxElements bounds the arrays and maps that are read, above the largest of the
+// protocol, a job's 100,000 tasks. It only keeps a damaged length from taking all
+// memory: how much is read at all is bounded in bytes.
+const maxElements = 131072
+
 var encMode = func() cbor.EncMode {
 	m, err := cbor.EncOptions{}.EncMode()
 	if err != nil {
@@ -28,8 +33,8 @@
 	m, err := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyQuiet,
 		MaxNestedLevels:  16,
-		MaxArrayElements: 131072,
-		MaxMapPairs:      4096,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
 	}.DecMode()
 	if err != nil {
 		panic(err)
