History of what was decided: package history and lilaclead history

Need: who acted under which token must be found long after, in a fleet that nobody watches.

Change: leases, acts and intents are recorded as events through a bounded buffer that drops and counts; frames compressed with zstd, each with a checksum, are sealed as Parquet segments; a limit on disk; a damaged file is read as far as it can be and named. Off in deploy/features.toml, as the machines there have no disk.

--- a/cmd/lilaclead/main.go
+++ b/cmd/lilaclead/main.go
@@ -30,6 +30,7 @@
 
 	Serve   serveCmd   `cmd:"" default:"1" help:"Serve as a controller (the default)."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file and print every error with its field."`
+	History historyCmd `cmd:"" help:"Read what was decided (features history.dir) by time, duty and controller."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Setting struct {
 		Addr string  `help:"Peer address of any controller." required:"" placeholder:"HOST:PORT"`
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"lilaclead/history"
 	"lilaclead/internal/intake"
 	"lilaclead/internal/leader"
 )
@@ -49,6 +50,18 @@
 	return m
 }
 
+// History registers what became of the events of the history.
+func (m *Metrics) History(counts func() history.Counts) {
+	for name, of := range map[string]func(history.Counts) uint64{
+		"written": func(c history.Counts) uint64 { return c.Written },
+		"dropped": func(c history.Counts) uint64 { return c.Dropped },
+		"failed":  func(c history.Counts) uint64 { return c.Failed },
+	} {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lilaclead_history_events_total", Help: "Events of the history.",
+			ConstLabels: prometheus.Labels{"outcome": name}}, func() float64 { return float64(of(counts())) }))
+	}
+}
+
 // maxOutcome bounds a label's length, since outcomes may hold texts of errors.
 const maxOutcome = 40
 
--- a/internal/compat/keys_test.go
+++ b/internal/compat/keys_test.go
@@ -290,6 +290,7 @@
 // unexported types and of structs without a name.
 var unexported = []string{
 	"nameId lane owner shape urgency parts cpus cards ramGb bundle imageGb kits site samePlace apart standby expectedS snapshotEveryS snapshotS dueS", // a submission
+	"at controller kind duty token version why", // an event of the history, which only its own package reads
 	"addr orders", // what a node asks another to pass on to a worker
 	"version",     // the answer to a change of settings
 	"version",     // the same, as the command line reads it
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io/fs"
 	"maps"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -21,6 +22,10 @@
 type Features struct {
 	// RecordIntents has rentals and returns recorded before they are sent.
 	RecordIntents bool
+	// HistoryDir is the folder in which what is decided is recorded; empty: none is.
+	HistoryDir string
+	// HistoryLimitMB is how much a controller's files there may take; 0: the default.
+	HistoryLimitMB float64
 }
 
 // field of the file.
@@ -31,7 +36,12 @@
 	get func(f *Features) any
 }
 
-const mustBeBool = "must be true or false"
+// What a value must be.
+const (
+	mustBeBool     = "must be true or false"
+	mustBeText     = "must be a text"
+	mustBePositive = "must be a number above 0"
+)
 
 // flag is a field that turns a part on.
 func flag(name string, at func(*Features) *bool) field {
@@ -45,9 +55,38 @@
 	}, func(f *Features) any { return *at(f) }}
 }
 
+// text is a field that is a text.
+func text(name string, at func(*Features) *string) field {
+	return field{name, func(f *Features, value any) error {
+		s, ok := value.(string)
+		if !ok {
+			return errors.New(mustBeText)
+		}
+		*at(f) = s
+		return nil
+	}, func(f *Features) any { return *at(f) }}
+}
+
+// positive is a field that is a number above 0.
+func positive(name string, at func(*Features) *float64) field {
+	return field{name, func(f *Features, value any) error {
+		if whole, ok := value.(int64); ok {
+			value = float64(whole)
+		}
+		n, ok := value.(float64)
+		if !ok || !(n > 0) || math.IsInf(n, 0) {
+			return errors.New(mustBePositive)
+		}
+		*at(f) = n
+		return nil
+	}, func(f *Features) any { return *at(f) }}
+}
+
 // fields are all that a file may name.
 var fields = []field{
 	flag("duties.record_intents", func(f *Features) *bool { return &f.RecordIntents }),
+	text("history.dir", func(f *Features) *string { return &f.HistoryDir }),
+	positive("history.limit_mb", func(f *Features) *float64 { return &f.HistoryLimitMB }),
 }
 
 // PathBeside is where the file lies for a program that was built as the deploy file
--- a/internal/leader/election/candidate.go
+++ b/internal/leader/election/candidate.go
@@ -37,9 +37,12 @@
 
 // NewCandidate makes the candidate of a node; observe is told of tokens.
 func NewCandidate(cfg *config.Config, client *store.Client, log *slog.Logger, observe func(context.Context, wire.Token)) *Candidate {
-	return &Candidate{duty.NewCandidate(Options(cfg, client, log, observe))}
+	return New(Options(cfg, client, log, observe))
 }
 
+// New makes the candidate of a node with options of the caller's own.
+func New(o duty.Options) *Candidate { return &Candidate{duty.NewCandidate(o)} }
+
 // Options of a candidate for the leadership.
 func Options(cfg *config.Config, client *store.Client, log *slog.Logger, observe func(context.Context, wire.Token)) duty.Options {
 	return duty.Options{Key: store.LeadKey, Node: cfg.HostName, Store: client, Log: log, ObserveToken: observe, Timing: duty.Timing{
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -24,6 +24,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"lilaclead/duty"
 	"lilaclead/internal/cancels"
 	"lilaclead/internal/cloud"
 	"lilaclead/internal/config"
@@ -51,6 +52,8 @@
 	Metrics Metrics
 	// Undecodable is told of records and reports that can't be decoded.
 	Undecodable *undecodable.Log
+	// Observe is told of what is decided under the leadership's lease; nil: nobody.
+	Observe duty.Observer
 	// RecordIntents has what is asked of the cloud recorded before it is sent.
 	RecordIntents bool
 	// Sockets is how many connections may go to workers at a time, Workers how
@@ -112,7 +115,7 @@
 func New(d Deps) *Leader {
 	l := &Leader{
 		Deps:           d,
-		candidate:      election.NewCandidate(d.Config, d.Store, d.Log, d.Mesh.ObserveToken),
+		candidate:      newCandidate(d),
 		workerContacts: make(chan wire.MachineID, 64),
 		delegation:     delegation.BoundsOf(d.Config.Settings.Workers),
 		workerClient:   &http.Client{Transport: d.Net.Bounded(max(16, d.Sockets), 2*probeTimeout).Transport(2, max(4, d.Sockets/2))},
@@ -122,6 +125,12 @@
 	return l
 }
 
+func newCandidate(d Deps) *election.Candidate {
+	o := election.Options(d.Config, d.Store, d.Log, d.Mesh.ObserveToken)
+	o.Observe, o.Undecodable = d.Observe, d.Undecodable.Note
+	return election.New(o)
+}
+
 func newDelegate(d Deps, bounds delegation.Bounds) *delegation.Delegate {
 	s := &d.Config.Settings
 	return delegation.New(delegation.Config{
--- a/node.go
+++ b/node.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"lilaclead/duty"
+	"lilaclead/history"
 	"lilaclead/internal/admin"
 	"lilaclead/internal/cancels"
 	"lilaclead/internal/cloud"
@@ -72,6 +73,7 @@
 	admin       *admin.Admin
 	sockets     socketBudget
 	undecodable *undecodable.Log
+	history     *history.Recorder // nil: nothing is recorded
 }
 
 // Options of a node; the zero value is the machine's own network and standard
@@ -109,11 +111,14 @@
 	metrics.Budget("state requests", func() float64 { calls, _ := n.store.Left(); return calls })
 	metrics.Budget("state changes", func() float64 { _, writes := n.store.Left(); return writes })
 	n.undecodable = undecodable.New(n.log)
+	if err := n.openHistory(metrics); err != nil {
+		return nil, err
+	}
 	n.leader = leader.New(leader.Deps{
 		Config: cfg, Net: n.net, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Cancels: cancelled,
 		Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: metrics.Leader(), Undecodable: n.undecodable,
-		RecordIntents: opt.Features.RecordIntents,
-		Sockets:       n.sockets.direct, Workers: n.sockets.workers(),
+		RecordIntents: opt.Features.RecordIntents, Observe: n.recordDuty,
+		Sockets: n.sockets.direct, Workers: n.sockets.workers(),
 		Needed: func(workers int) int { return socketsNeeded(workers, settings.Limits, settings.Size) },
 	})
 	n.intake = intake.New(settings, n.store, cancelled, n.flavors.Get, n.log)
@@ -124,6 +129,27 @@
 	return n, nil
 }
 
+// openHistory makes the recorder of what is decided, if that is on.
+func (n *Node) openHistory(metrics *admin.Metrics) error {
+	if n.features.HistoryDir == "" {
+		return nil
+	}
+	const megabyte = 1 << 20
+	recorder, err := history.NewRecorder(history.Options{Dir: n.features.HistoryDir, Controller: string(n.cfg.HostName),
+		LimitBytes: int64(n.features.HistoryLimitMB * megabyte)})
+	if err != nil {
+		return fmt.Errorf("history: %w", err)
+	}
+	n.history = recorder
+	metrics.History(recorder.Counts)
+	return nil
+}
+
+// recordDuty records an event of package duty.
+func (n *Node) recordDuty(e duty.Event) {
+	n.history.Record(history.Event{At: e.At, Kind: string(e.Kind), Duty: string(e.Duty), Token: uint64(e.Token), Why: e.Why})
+}
+
 // status is what the other nodes are told of this one.
 func (n *Node) status() peer.Status {
 	return peer.Status{
@@ -182,6 +208,8 @@
 	idleTimeout     = 75 * time.Second
 	peerIdleTimeout = 60 * time.Second
 	maxHeaderBytes  = 16 << 10
+	// historyTimeout bounds the wait for a disk at the end.
+	historyTimeout = 2 * time.Second
 )
 
 // Run serves until the context ends.
@@ -201,6 +229,7 @@
 	bounded := newBoundedListener(front, n.sockets.accepted, n.log)
 	frontServer, peerServer := n.frontServer(bounded), n.peerServer()
 	n.startActors(ctx)
+	defer n.runHistory(ctx)()
 	errs := make(chan error, 2)
 	go func() { errs <- frontServer.Serve(bounded) }()
 	go func() { errs <- peerServer.Serve(peers) }()
@@ -219,6 +248,25 @@
 	return err
 }
 
+// runHistory writes what is recorded until the context ends; the function that it
+// returns waits until all is written.
+func (n *Node) runHistory(ctx context.Context) (wait func()) {
+	if n.history == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.history.Run(ctx)
+	}()
+	return func() {
+		select {
+		case <-done:
+		case <-time.After(historyTimeout):
+		}
+	}
+}
+
 // startActors starts what runs until the context ends.
 func (n *Node) startActors(ctx context.Context) {
 	go n.mesh.Run(ctx)
