Rolling upgrades: one active version, and stored settings of which one is wrong

Need: controllers are upgraded one at a time; what is new must begin only when all understand it, and going back must be possible until then. An old controller that rejoins after it must not serve, lead, acknowledge or write.

Change: package upgrade. Each process publishes what it understands before it serves, guarded by the active version; the leader moves that up by one write guarded by its key, by every configured controller's record and by the operators' settings, and only while each process is in contact that published. Intents are recorded from version 2 on. `lilaclead versions` shows who holds up the next one; upgrade.max_version holds it back. A job's record may say from which version on it is understood: later ones are 503, never rewritten. One stored setting that is out of range kept all others from being applied; now it alone is left.

--- a/cmd/lilaclead/main.go
+++ b/cmd/lilaclead/main.go
@@ -19,6 +19,7 @@
 	"lilaclead/internal/admin"
 	"lilaclead/internal/netio"
 	"lilaclead/internal/wire"
+	"lilaclead/upgrade"
 )
 
 // version is the release's name.
@@ -28,11 +29,12 @@
 	Config   string `help:"Settings file of the platform (TOML)." placeholder:"FILE"`
 	Features string `help:"File that turns optional parts on (TOML); by default deploy/features.toml beside the program's folder, if there is one." placeholder:"FILE"`
 
-	Serve   serveCmd   `cmd:"" default:"1" help:"Serve as a controller (the default)."`
-	Check   checkCmd   `cmd:"" help:"Check a settings file and print every error with its field."`
-	History historyCmd `cmd:"" help:"Read what was decided (features history.dir) by time, duty and controller."`
-	Version versionCmd `cmd:"" help:"Print the version."`
-	Setting struct {
+	Serve    serveCmd    `cmd:"" default:"1" help:"Serve as a controller (the default)."`
+	Check    checkCmd    `cmd:"" help:"Check a settings file and print every error with its field."`
+	History  historyCmd  `cmd:"" help:"Read what was decided (features history.dir) by time, duty and controller."`
+	Versions versionsCmd `cmd:"" help:"Print the active version of the behaviour, and who holds up the next one."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
+	Setting  struct {
 		Addr string  `help:"Peer address of any controller." required:"" placeholder:"HOST:PORT"`
 		List listCmd `cmd:"" help:"List all settings with value, default and allowed range."`
 		Get  getCmd  `cmd:"" help:"Print one setting."`
@@ -41,11 +43,14 @@
 }
 
 type (
-	serveCmd   struct{}
-	checkCmd   struct{}
-	versionCmd struct{}
-	listCmd    struct{}
-	getCmd     struct {
+	serveCmd    struct{}
+	checkCmd    struct{}
+	versionCmd  struct{}
+	versionsCmd struct {
+		Addr string `help:"Peer address of any controller." required:"" placeholder:"HOST:PORT"`
+	}
+	listCmd struct{}
+	getCmd  struct {
 		Name string `arg:""`
 	}
 	setCmd struct {
@@ -108,16 +113,40 @@
 	return nil
 }
 
+// Run prints how far an upgrade is.
+func (v versionsCmd) Run() error {
+	var s upgrade.Status
+	if err := call("GET", v.Addr, "/admin/versions", nil, &s); err != nil {
+		return err
+	}
+	fmt.Printf("active %d, next %d", s.Active, s.Next)
+	if s.Held {
+		fmt.Printf(", held back at %d by upgrade.max_version", s.Ceiling)
+	}
+	fmt.Println()
+	for _, c := range s.Controllers {
+		missing := string(c.Missing)
+		if missing == "" {
+			missing = "ready"
+		}
+		fmt.Printf("%-16s understands %d to %d  %s\n", c.Node, c.Min, c.Max, missing)
+	}
+	return nil
+}
+
 func (versionCmd) Run() error {
 	fmt.Println("lilaclead", version)
 	return nil
 }
 
+// settingsPath is where the administration API has the operators' settings.
+const settingsPath = "/admin/settings"
+
 // call makes one request of the administration API.
-func call(method, addr string, in, out any) error {
+func call(method, addr, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	status, raw, _, err := netio.Call(ctx, http.DefaultClient, method, "http://"+addr+"/admin/settings", in, 1<<20)
+	status, raw, _, err := netio.Call(ctx, http.DefaultClient, method, "http://"+addr+path, in, 1<<20)
 	if err != nil {
 		return err
 	}
@@ -136,7 +165,7 @@
 
 func (listCmd) Run(c *cli) error {
 	var l admin.Listing
-	if err := call("GET", c.Setting.Addr, nil, &l); err != nil {
+	if err := call("GET", c.Setting.Addr, settingsPath, nil, &l); err != nil {
 		return err
 	}
 	for _, s := range l.Settings {
@@ -147,7 +176,7 @@
 
 func (g getCmd) Run(c *cli) error {
 	var l admin.Listing
-	if err := call("GET", c.Setting.Addr, nil, &l); err != nil {
+	if err := call("GET", c.Setting.Addr, settingsPath, nil, &l); err != nil {
 		return err
 	}
 	for _, s := range l.Settings {
@@ -161,7 +190,7 @@
 
 func (s setCmd) Run(c *cli) error {
 	var l admin.Listing
-	if err := call("GET", c.Setting.Addr, nil, &l); err != nil {
+	if err := call("GET", c.Setting.Addr, settingsPath, nil, &l); err != nil {
 		return err
 	}
 	var value any = s.Value
@@ -171,7 +200,7 @@
 	var done struct {
 		Version wire.Revision `cbor:"version"`
 	}
-	if err := call("PUT", c.Setting.Addr, admin.Change{Version: &l.Version, Set: map[string]any{s.Name: value}}, &done); err != nil {
+	if err := call("PUT", c.Setting.Addr, settingsPath, admin.Change{Version: &l.Version, Set: map[string]any{s.Name: value}}, &done); err != nil {
 		return err
 	}
 	fmt.Printf("%s = %v, version %d\n", s.Name, s.Value, done.Version)
--- a/duty/candidate.go
+++ b/duty/candidate.go
@@ -74,6 +74,8 @@
 	Log    *slog.Logger // nil: none
 	// ObserveToken is told every token that is seen.
 	ObserveToken func(context.Context, Token)
+	// Eligible tells whether this process may take the lease now; nil: always.
+	Eligible func() bool
 	// Observe is told of what is decided.
 	Observe Observer
 	// Undecodable is told of a record that can't be decoded.
@@ -109,6 +111,9 @@
 	if o.ObserveToken == nil {
 		o.ObserveToken = func(context.Context, Token) {}
 	}
+	if o.Eligible == nil {
+		o.Eligible = func() bool { return true }
+	}
 	if o.Observe == nil {
 		o.Observe = func(Event) {}
 	}
@@ -154,7 +159,7 @@
 			continue
 		}
 		c.holder.Store(nil)
-		if c.Clock.Now().Before(c.notBefore) {
+		if c.Clock.Now().Before(c.notBefore) || !c.Eligible() {
 			continue
 		}
 		if lease := c.take(ctx); lease != nil {
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"log"
 	"net/http"
 	"strings"
 	"testing"
@@ -36,18 +34,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{t: t, ctx: ctx, network: simulator.NewNetwork(time.Millisecond), state: simulator.NewState(12, 16)}
-		l, err := w.network.Host("10.2.0.1").Listen("tcp4", simulator.StateAddr)
+		stop, err := w.network.ServeState(w.state)
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := &http.Server{Handler: w.state, ErrorLog: log.New(io.Discard, "", 0)}
-		go server.Serve(l) //nolint:errcheck // ends with Close
 		f(w)
 		cancel()
-		w.network.Close()
-		server.Close()
-		time.Sleep(5 * time.Second)
-		w.network.Close()
+		stop()
 	})
 }
 
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -43,6 +43,7 @@
 	r.GET("/admin/settings", a.list)
 	r.PUT("/admin/settings", a.put)
 	r.GET("/admin/view", a.view)
+	r.GET("/admin/versions", a.versions)
 	r.Handler("GET", "/metrics", a.metrics.handler())
 }
 
@@ -218,3 +219,16 @@
 	}
 	wire.Answer(w, http.StatusOK, out)
 }
+
+// versions tells how far an upgrade is.
+func (a *Admin) versions(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	status, err := a.leader.UpgradeStatus(r.Context())
+	switch {
+	case err != nil:
+		wire.Refuse(w, http.StatusServiceUnavailable, err.Error(), retryAfterS)
+	case status == nil:
+		wire.Answer(w, http.StatusNotFound, wire.Reason{Error: "versions are not negotiated (upgrades.negotiate is off)"})
+	default:
+		wire.Answer(w, http.StatusOK, status)
+	}
+}
--- a/internal/compat/keys_test.go
+++ b/internal/compat/keys_test.go
@@ -29,6 +29,7 @@
 	"lilaclead/internal/store"
 	"lilaclead/internal/tuning"
 	"lilaclead/internal/wire"
+	"lilaclead/upgrade"
 )
 
 // sample is a value whose bytes stand in testdata/keys.hex under its name.
@@ -49,10 +50,16 @@
 		{"bookings", duty.IntentRecord[leader.RentIntent]{Token: 43, At: 1796000000124, Open: []leader.RentIntent{{Request: wire.RentalRequest{Name: "b-43-1", Type: "g8", Zone: "a", Spot: true, Count: 9}, Since: 1796000000125}}}},
 		{"booking, recorded", leader.RentIntent{Request: wire.RentalRequest{Name: "b-43-2", Type: "g8", Zone: "b", Spot: true, Count: 8}, Since: 1796000000126}},
 		{"returns", duty.IntentRecord[wire.MachineID]{Token: 44, At: 1796000000127, Open: []wire.MachineID{"n-000231", "n-000232"}}},
+		{"active version", upgrade.ActiveRecord{Version: 2, By: "worker-2", At: 1796000000128}},
+		{"support", upgrade.SupportRecord{Min: 1, Max: 2, Incarnation: "c0ffee", At: 1796000000129}},
+		{"job, later", store.JobRecord{Spec: fullSpec(), Status: wire.Queued, At: 1796000000130, Needs: 2}},
+		{"upgrade status", upgrade.Status{Active: 1, Next: 2, Ceiling: 3, Held: true, Controllers: []upgrade.ControllerStatus{fullControllerStatus()}}},
+		{"upgrade status, controller", fullControllerStatus()},
 		{"lead", store.LeadRecord{Node: "worker-2", Nonce: "c0ffee"}},
 
 		{"beat", fullBeat()},
 		{"beat, leads", peer.Heartbeat{From: "worker-3", Seq: 10, Token: 43, Leads: true, ReachableWorkers: 122}},
+		{"beat, version", peer.Heartbeat{From: "worker-4", Seq: 11, Token: 44, Incarnation: "c0ffee", ActiveVersion: 2}},
 		{"word", fullWord()},
 		{"cancellation", cancels.Entry{Job: "req-000414", Age: 3 * time.Second}},
 
@@ -114,6 +121,10 @@
 		UnconfirmedFor: time.Second, Update: fullWord()}
 }
 
+func fullControllerStatus() upgrade.ControllerStatus {
+	return upgrade.ControllerStatus{Node: "worker-2", Min: 1, Max: 2, Incarnation: "c0ffee", PublishedAt: 1796000000131, Missing: upgrade.NotInContact}
+}
+
 func fullFlavor() wire.MachineSpec {
 	return wire.MachineSpec{Name: "g8", CPUs: 96, GPUs: 8, MemoryGB: 768, DiskGB: 200, FetchGBPerS: 1, OnDemandPrice: 12, SpotPrice: 4.5, BootTime: 45, Zones: []wire.Zone{"a"}}
 }
@@ -411,8 +422,8 @@
 // Operators' settings are stored under their names.
 func TestSettingsKeepTheirNames(t *testing.T) {
 	stored := map[string]any{"utility.preferred": 1.5, "utility.fallback": 0.25, "utility.wait_raise_s": 61.0, "round.period_s": 2.0, "services.spare_units": 3.0,
-		"gangs.spare": 4.0, "fleet.keep_boots": 0.75, "fleet.stretch_share": 0.7, "fleet.dear_limit": 2.25, "log.level": "debug"}
-	want := tuning.Values{Preferred: 1.5, Fallback: 0.25, WaitRaiseS: 61, RoundS: 2, SpareUnits: 3, SpareGangs: 4, KeepBoots: 0.75, LogLevel: "debug", DearLimit: 2.25, StretchShare: 0.7}
+		"gangs.spare": 4.0, "fleet.keep_boots": 0.75, "fleet.stretch_share": 0.7, "fleet.dear_limit": 2.25, "upgrade.max_version": 12.0, "log.level": "debug"}
+	want := tuning.Values{Preferred: 1.5, Fallback: 0.25, WaitRaiseS: 61, RoundS: 2, SpareUnits: 3, SpareGangs: 4, KeepBoots: 0.75, LogLevel: "debug", DearLimit: 2.25, StretchShare: 0.7, MaxVersion: 12}
 	raw, err := hex.DecodeString(settingsData)
 	if err != nil {
 		t.Fatal(err)
@@ -436,6 +447,8 @@
 		store.ChunkKey("req-1", 2):              "run/req-1/2",
 		store.SubchunkKey("req-1", 2, 3):        "run/req-1/2/3",
 		store.PastKey("req-1"):                  "past/req-1",
+		upgrade.ActiveKey:                       "version/active",
+		upgrade.SupportKey("worker-2"):          "version/support/worker-2",
 		store.LeadKey:                           "lead",
 		duty.IntentKey(duty.Renting{}.Name()):   "intent/renting",
 		duty.IntentKey(duty.Returning{}.Name()): "intent/returning",
@@ -468,4 +481,4 @@
 }
 
 // settingsData is what is stored under fact/settings.
-const settingsData = "aa6b67616e67732e7370617265fb401000000000000073666c6565742e737472657463685f7368617265fb3fe666666666666670666c6565742e646561725f6c696d6974fb4002000000000000696c6f672e6c6576656c656465627567717574696c6974792e707265666572726564fb3ff8000000000000707574696c6974792e66616c6c6261636bfb3fd00000000000006e726f756e642e706572696f645f73fb40000000000000007473657276696365732e73706172655f756e697473fb400800000000000070666c6565742e6b6565705f626f6f7473fb3fe8000000000000747574696c6974792e776169745f72616973655f73fb404e800000000000"
+const settingsData = "ab73757067726164652e6d61785f76657273696f6efb40280000000000006b67616e67732e7370617265fb401000000000000073666c6565742e737472657463685f7368617265fb3fe666666666666670666c6565742e646561725f6c696d6974fb4002000000000000696c6f672e6c6576656c656465627567717574696c6974792e707265666572726564fb3ff8000000000000707574696c6974792e66616c6c6261636bfb3fd00000000000006e726f756e642e706572696f645f73fb40000000000000007473657276696365732e73706172655f756e697473fb400800000000000070666c6565742e6b6565705f626f6f7473fb3fe8000000000000747574696c6974792e776169745f72616973655f73fb404e800000000000"
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -22,6 +22,8 @@
 type Features struct {
 	// RecordIntents has rentals and returns recorded before they are sent.
 	RecordIntents bool
+	// NegotiateVersions has new behaviour begin only once every controller understands it.
+	NegotiateVersions bool
 	// HistoryDir is the folder in which what is decided is recorded; empty: none is.
 	HistoryDir string
 	// HistoryLimitMB is how much a controller's files there may take; 0: the default.
@@ -85,6 +87,7 @@
 // fields are all that a file may name.
 var fields = []field{
 	flag("duties.record_intents", func(f *Features) *bool { return &f.RecordIntents }),
+	flag("upgrades.negotiate", func(f *Features) *bool { return &f.NegotiateVersions }),
 	text("history.dir", func(f *Features) *string { return &f.HistoryDir }),
 	positive("history.limit_mb", func(f *Features) *float64 { return &f.HistoryLimitMB }),
 }
--- a/internal/leader/election/election_test.go
+++ b/internal/leader/election/election_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"log"
 	"log/slog"
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,12 +23,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		network := simulator.NewNetwork(time.Millisecond)
 		st := simulator.NewState(12, 16)
-		l, err := network.Host("10.2.0.1").Listen("tcp4", simulator.StateAddr)
+		stop, err := network.ServeState(st)
 		if err != nil {
 			t.Fatal(err)
 		}
-		srv := &http.Server{Handler: st, ErrorLog: log.New(io.Discard, "", 0)}
-		go srv.Serve(l) //nolint:errcheck // ends with Close
 		f(ctx, st, func(node int) *Candidate {
 			limits := config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}
 			cfg := &config.Config{HostName: wire.NodeID(rune('a' + node)), Settings: config.Settings{Size: 3, State: limits}}
@@ -38,10 +34,7 @@
 			return NewCandidate(cfg, client, slog.New(slog.NewTextHandler(io.Discard, nil)), func(context.Context, wire.Token) {})
 		})
 		cancel()
-		network.Close()
-		srv.Close()
-		time.Sleep(5 * time.Second)
-		network.Close()
+		stop()
 	})
 }
 
--- a/internal/leader/intents.go
+++ b/internal/leader/intents.go
@@ -82,13 +82,13 @@
 }
 
 // mayRent tells whether bookings can be recorded, or need not be.
-func (t *term) mayRent() bool { return t.intents == nil || t.intents.renting.Loaded() }
+func (t *term) mayRent() bool { return !t.recordsIntents() || t.intents.renting.Loaded() }
 
 // recordBookings records the open bookings if some were made, or if none is left, and
 // then has the new ones sent.
 func (t *term) recordBookings(now time.Time) {
 	c := t.intents
-	if c == nil || c.recording || !c.renting.Loaded() || !t.lease.Deciding() {
+	if !t.recordsIntents() || c.recording || !c.renting.Loaded() || !t.lease.Deciding() {
 		return
 	}
 	if len(c.unrecorded) == 0 && !t.bookingsSettled(now) {
@@ -152,9 +152,6 @@
 // recordReturns records that machines are to be returned, for good: nothing will run
 // on them again under whatever leader. False: the term is over.
 func (t *term) recordReturns(ids []wire.MachineID) bool {
-	if t.intents == nil {
-		return true
-	}
 	for {
 		err := t.intents.returning.Record(t.ctx, ids)
 		if err == nil {
@@ -175,7 +172,7 @@
 // later leader asks for them again.
 func (t *term) clearReturns(now time.Time) {
 	c := t.intents
-	if c == nil || !t.lease.Deciding() || !t.rentals.StartRelease() {
+	if !t.recordsIntents() || !t.lease.Deciding() || !t.rentals.StartRelease() {
 		return
 	}
 	if len(c.returning.Open()) == 0 || now.Sub(c.returnedAt) <= clearIntentsAfter {
@@ -191,7 +188,7 @@
 
 // returnsAtOnce is how many machines one record of returns has room for.
 func (t *term) returnsAtOnce() int {
-	if t.intents == nil {
+	if !t.recordsIntents() {
 		return rentals.MaxRelease
 	}
 	n := rentals.MaxRelease
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -36,6 +36,7 @@
 	"lilaclead/internal/tuning"
 	"lilaclead/internal/undecodable"
 	"lilaclead/internal/wire"
+	"lilaclead/upgrade"
 )
 
 // Deps is what the leader works with.
@@ -56,6 +57,9 @@
 	Observe duty.Observer
 	// RecordIntents has what is asked of the cloud recorded before it is sent.
 	RecordIntents bool
+	// Versions is this process among those that negotiate the active version; nil: the
+	// part is off.
+	Versions *upgrade.Member
 	// Sockets is how many connections may go to workers at a time, Workers how
 	// many of them one node can hold, and Needed the limit that more need.
 	Sockets int
@@ -128,6 +132,9 @@
 func newCandidate(d Deps) *election.Candidate {
 	o := election.Options(d.Config, d.Store, d.Log, d.Mesh.ObserveToken)
 	o.Observe, o.Undecodable = d.Observe, d.Undecodable.Note
+	if d.Versions != nil {
+		o.Eligible = func() bool { return d.Versions.MayServe() == nil }
+	}
 	return election.New(o)
 }
 
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -8,6 +8,7 @@
 
 	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
+	"lilaclead/upgrade"
 )
 
 // recover reads everything from the state service.
@@ -19,6 +20,10 @@
 		if err == nil {
 			runs, _, err = t.l.Store.List(ctx, store.Background, store.RunPrefix)
 		}
+		var version upgrade.Version
+		if err == nil {
+			version, err = t.readVersion(ctx)
+		}
 		var earlier earlierIntents
 		if err == nil && t.intents != nil {
 			earlier, err = t.intents.load(ctx)
@@ -26,6 +31,7 @@
 		if err == nil {
 			t.post(func() {
 				t.loadRecords(jobs, runs)
+				t.version = version
 				t.adopt(earlier)
 				t.l.Cancels.RecordRead(began)
 			})
--- a/internal/leader/releases.go
+++ b/internal/leader/releases.go
@@ -38,8 +38,9 @@
 	if len(ids) == 0 {
 		return
 	}
+	record := t.recordsIntents()
 	go func() {
-		if t.recordReturns(ids) && t.returnMachines(ids) {
+		if (!record || t.recordReturns(ids)) && t.returnMachines(ids) {
 			t.post(func() { t.onReleased(ids) })
 		}
 	}()
--- a/internal/leader/rentals.go
+++ b/internal/leader/rentals.go
@@ -52,7 +52,7 @@
 func (t *term) rent(r fleet.Rent) {
 	b := t.rentals.Book(r, time.Now())
 	t.log().Info("rents", "type", b.Type, "zone", b.Zone, "spot", b.Spot, "count", b.Count, "for", r.For, "booking", b.Name)
-	if t.intents != nil {
+	if t.recordsIntents() {
 		t.intents.unrecorded = append(t.intents.unrecorded, b)
 		return
 	}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -13,6 +13,7 @@
 	"lilaclead/internal/leader/rentals"
 	"lilaclead/internal/peer"
 	"lilaclead/internal/wire"
+	"lilaclead/upgrade"
 )
 
 // reportCall is a report with the channel for its answer.
@@ -81,8 +82,9 @@
 	roundTook       time.Duration // the last one
 
 	rentals  *rentals.Tracker
-	intents  *cloudIntents // nil: they are not recorded
-	backlogS float64       // seconds in which the room there is would do what waits
+	intents  *cloudIntents   // nil: they are not recorded
+	version  upgrade.Version // that is active, as far as this leader acts by it
+	backlogS float64         // seconds in which the room there is would do what waits
 }
 
 func newTerm(l *Leader, lease *election.Lease) *term {
@@ -135,6 +137,7 @@
 	go t.recover(ctx)
 	go t.pollMachineList(ctx)
 	go t.pollMachineSpecs(ctx)
+	go t.advanceVersion(ctx)
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
 	slow := 0
--- /dev/null
+++ b/internal/leader/version.go
@@ -0,0 +1,118 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lilaclead/duty"
+	"lilaclead/internal/store"
+	"lilaclead/internal/tuning"
+	"lilaclead/internal/wire"
+	"lilaclead/upgrade"
+)
+
+// VersionIntents is the version from which on intents are recorded.
+const VersionIntents upgrade.Version = 2
+
+// SupportedVersions are those that this program understands.
+var SupportedVersions = upgrade.Range{Min: upgrade.Base, Max: store.Version}
+
+// advanceEvery is how often a leader looks whether the next version may be switched to.
+const advanceEvery = 2 * time.Second
+
+// recordsIntents tells whether intents are recorded now: the part is on and, where
+// versions are negotiated, every controller understands it.
+func (t *term) recordsIntents() bool {
+	return t.intents != nil && (t.l.Versions == nil || t.version >= VersionIntents)
+}
+
+// readVersion reads the active version for this term. It is read after the lease was
+// taken, and only leaders switch, by writes that their token guards: no earlier one can
+// switch any more.
+func (t *term) readVersion(ctx context.Context) (upgrade.Version, error) {
+	if t.l.Versions == nil {
+		return 0, nil
+	}
+	v, err := t.l.Versions.ReadActive(ctx)
+	if errors.Is(err, upgrade.ErrTooOld) || errors.Is(err, upgrade.ErrTooNew) || errors.Is(err, upgrade.ErrUndecodable) || errors.Is(err, upgrade.ErrReplaced) {
+		t.post(func() { t.resign(err.Error()) })
+	}
+	return v, err
+}
+
+// advanceVersion switches to the next version once all controllers understand it.
+func (t *term) advanceVersion(ctx context.Context) {
+	if t.l.Versions == nil {
+		return
+	}
+	for t.pause(advanceEvery) {
+		permit, err := duty.For[duty.Cleanup](t.lease.Lease)
+		if err != nil {
+			continue
+		}
+		deployment, err := t.l.deployment(ctx)
+		if err != nil {
+			continue
+		}
+		version, err := t.l.Versions.Advance(ctx, permit, deployment)
+		if err != nil && !errors.Is(err, upgrade.ErrNotReady) {
+			t.log().Info("the active version could not be switched", "err", err)
+		}
+		t.post(func() { t.takeVersion(version) })
+	}
+}
+
+// takeVersion acts by a version that is active, once the term knows all records.
+func (t *term) takeVersion(version upgrade.Version) {
+	if version > t.version && t.recovered {
+		t.log().Info("acts by version", "version", version, "before", t.version)
+		t.version = version
+	}
+}
+
+// deployment is what is known of the other controllers and of the operators' word.
+func (l *Leader) deployment(ctx context.Context) (upgrade.Deployment, error) {
+	d := upgrade.Deployment{Controllers: []duty.NodeID{l.Config.HostName}, Present: l.presentIncarnation}
+	for _, p := range l.Config.Peers {
+		d.Controllers = append(d.Controllers, p.HostName)
+	}
+	e, err := l.Store.Get(ctx, store.Background, store.SettingsKey)
+	if err != nil && !errors.Is(err, store.ErrMissing) {
+		return d, err
+	}
+	d.Guards = []duty.Guard{{Key: store.SettingsKey, Revision: e.Revision}}
+	set := map[string]any{}
+	if err == nil {
+		if err := wire.Decode(e.Value, &set); err != nil {
+			return d, err
+		}
+	}
+	values, err := tuning.Apply(tuning.Default(), set, false)
+	d.Ceiling = upgrade.Version(values.MaxVersion)
+	return d, err
+}
+
+// presentIncarnation is the process of another controller that was in contact a moment
+// ago; empty: none, or of a version from before.
+func (l *Leader) presentIncarnation(node duty.NodeID) string {
+	p := l.Mesh.View().Peers[node]
+	if !p.Connected(time.Now()) {
+		return ""
+	}
+	return p.Incarnation
+}
+
+// UpgradeStatus tells operators how far an upgrade is; nil: versions are not
+// negotiated.
+func (l *Leader) UpgradeStatus(ctx context.Context) (*upgrade.Status, error) {
+	if l.Versions == nil {
+		return nil, nil
+	}
+	deployment, err := l.deployment(ctx)
+	if err != nil {
+		return nil, err
+	}
+	status, err := l.Versions.Look(ctx, deployment)
+	return &status, err
+}
--- a/internal/leader/write_test.go
+++ b/internal/leader/write_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log"
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,12 +24,10 @@
 		tm, m, a := rig(t)
 		nw := simulator.NewNetwork(time.Millisecond)
 		st := simulator.NewState(12, 16)
-		l, err := nw.Host("10.2.0.1").Listen("tcp4", simulator.StateAddr)
+		stop, err := nw.ServeState(st)
 		if err != nil {
 			t.Fatal(err)
 		}
-		srv := &http.Server{Handler: st, ErrorLog: log.New(io.Discard, "", 0)}
-		go srv.Serve(l) //nolint:errcheck // ends with Close
 		tm.l.Store = store.New(simulator.StateAddr, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
 		tm.l.Mesh = peer.New("a", nil, func() peer.Status { return peer.Status{} }, tm.l.Cancels, nw.Host("10.0.0.1"), tm.l.Log)
 		go tm.l.Mesh.Run(ctx)
@@ -56,10 +51,7 @@
 			}
 		})
 		cancel()
-		nw.Close()
-		srv.Close()
-		time.Sleep(5 * time.Second)
-		nw.Close()
+		stop()
 	})
 }
 
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -51,6 +51,11 @@
 	// cancellation of which a launch may still be on its way: the time for which
 	// a delegate may renew leases is counted from then.
 	UnconfirmedFor time.Duration `cbor:"unproven,omitempty"`
+	// Incarnation tells the sender's process from others of its node, and
+	// ActiveVersion is the version of the behaviour that it knows to be active; empty and
+	// 0 where versions are not negotiated.
+	Incarnation   string `cbor:"process,omitempty"`
+	ActiveVersion uint64 `cbor:"version,omitempty"`
 	// Update, in an answer, is what the sender knows of cancellations.
 	cancels.Update
 }
@@ -64,4 +69,10 @@
 	// UnconfirmedSince is when the oldest cancellation was confirmed of which a
 	// launch may still be on its way; zero: there is none.
 	UnconfirmedSince time.Time
+	// Incarnation and ActiveVersion: see Heartbeat.
+	Incarnation   string
+	ActiveVersion uint64
+	// Refuses: this node must not acknowledge any token, as it may not understand what
+	// is active.
+	Refuses bool
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -46,6 +46,9 @@
 	tokens  chan wire.Token
 	view    atomic.Pointer[View]
 	client  *http.Client
+	// LearnVersion is told of versions of the behaviour that others know to be active;
+	// nil: nobody is. It is set before Run.
+	LearnVersion func(version uint64)
 	// undecodable is told of messages that can't be decoded.
 	undecodable *undecodable.Log
 
@@ -142,6 +145,9 @@
 func (m *Mesh) handle(current *View, e *event) {
 	p := current.Peers[e.from]
 	p.LastContact = time.Now()
+	if e.heartbeat.ActiveVersion > 0 && m.LearnVersion != nil {
+		m.LearnVersion(e.heartbeat.ActiveVersion)
+	}
 	if e.isAnswer() {
 		current.observeAnswer(&p, &e.heartbeat, e.sent)
 		current.Peers[e.from] = p
@@ -157,11 +163,12 @@
 
 // answer is what the peer gets for a heartbeat.
 func (m *Mesh) answer(current *View, p *Peer, seq uint64) Heartbeat {
-	answer := Heartbeat{From: m.name, Seq: seq}
-	if time.Since(m.startedAt) >= AckLifetime {
+	s := m.status()
+	answer := Heartbeat{From: m.name, Seq: seq, Incarnation: s.Incarnation, ActiveVersion: s.ActiveVersion}
+	if time.Since(m.startedAt) >= AckLifetime && !s.Refuses {
 		answer.Token = current.Token
 	}
-	if s := m.status(); s.Delegation > 0 && s.Delegation == current.Token {
+	if s.Delegation > 0 && s.Delegation == current.Token {
 		answer.Delegation = s.Delegation
 		p.DelegatedAt = time.Now()
 		if !s.UnconfirmedSince.IsZero() {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -88,6 +88,7 @@
 		h := Heartbeat{
 			From: m.name, Seq: seq, Token: m.View().Token,
 			Leads: s.Leads, StateReachable: s.StateReachable, ReachableWorkers: s.ReachableWorkers,
+			Incarnation: s.Incarnation, ActiveVersion: s.ActiveVersion,
 		}
 		if encoder.Encode(h) != nil {
 			return
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -99,6 +99,8 @@
 // observeAnswer takes in another node's answer to the heartbeat sent then.
 func (v *View) observeAnswer(p *Peer, answer *Heartbeat, sent time.Time) {
 	p.acknowledge(answer, sent)
+	// Also empty: the node may have been replaced by one of a version from before.
+	p.Incarnation, p.ActiveVersion = answer.Incarnation, answer.ActiveVersion
 	v.observeToken(answer.Token)
 	if answer.Delegation > 0 && answer.Delegation == v.Token {
 		requested := sent.Add(-max(0, answer.UnconfirmedFor))
--- a/internal/scenarios/helpers_deployment_test.go
+++ b/internal/scenarios/helpers_deployment_test.go
@@ -31,16 +31,21 @@
 // startWith makes controllers with optional parts of the test's own.
 func startWith(features lilaclead.Features) simulator.StartFunc {
 	return func(cfg *config.Config, nw netio.Net) (func(context.Context) error, error) {
-		options := lilaclead.Options{Net: nw, Log: io.Discard, Features: features}
-		if os.Getenv("SCENARIO_LOG") != "" {
-			options.Log = os.Stderr
-		}
-		n, err := lilaclead.New(cfg, options)
-		if err != nil {
-			return nil, err
-		}
-		return n.Run, nil
+		return startNode(cfg, nw, lilaclead.Options{Features: features})
+	}
+}
+
+// startNode makes a controller on the simulated network.
+func startNode(cfg *config.Config, nw netio.Net, options lilaclead.Options) (func(context.Context) error, error) {
+	options.Net, options.Log = nw, io.Discard
+	if os.Getenv("SCENARIO_LOG") != "" {
+		options.Log = os.Stderr
+	}
+	n, err := lilaclead.New(cfg, options)
+	if err != nil {
+		return nil, err
 	}
+	return n.Run, nil
 }
 
 // scenarioRunner runs a script on a deployment with one layout of zones and
--- a/internal/scenarios/single_holder_test.go
+++ b/internal/scenarios/single_holder_test.go
@@ -1,6 +1,8 @@
 package scenarios_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -159,3 +161,117 @@
 		}
 	})
 }
+
+// mustRentInTurn checks that no leader rented once its successor had: a booking's name
+// tells under which token it was decided on.
+func mustRentInTurn(t *testing.T, sim *simulator.Simulation) {
+	t.Helper()
+	highest := uint64(0)
+	for _, name := range sim.RentalNames() {
+		var token, number uint64
+		if _, err := fmt.Sscanf(name, "b-%d-%d", &token, &number); err != nil {
+			t.Fatalf("a booking is named %q", name)
+		}
+		if token < highest {
+			t.Errorf("%s was filled after one of token %d", name, highest)
+		}
+		highest = max(highest, token)
+	}
+}
+
+// The leader is cut off from state service and peers, in each way, but not from workers
+// and the cloud; another leads on the other side, and both have work to rent for. Only
+// one of them rents, and no machine is leaked.
+func TestBothSidesOfASplitRent(t *testing.T) {
+	t.Parallel()
+	for i, mode := range simulator.CutModes {
+		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
+			runWithFeatures(t, lilaclead.Features{RecordIntents: true}, uint64(110+i), func(sim *simulator.Simulation, at func(time.Duration)) {
+				at(6 * time.Second)
+				first := array(1, 16, 20)
+				sim.Submit(first, 0)
+				at(8 * time.Second)
+				old := sim.Leader()
+				sim.IsolateController(old, mode, true)
+				second := array(2, 16, 20)
+				sim.Submit(second, 0)
+				awaitOtherLeader(t, sim, old, 30*time.Second)
+				time.Sleep(40 * time.Second)
+				sim.IsolateController(old, mode, false)
+				time.Sleep(120 * time.Second)
+				mustRentInTurn(t, sim)
+				mustFinish(t, sim, first, second)
+				time.Sleep(60 * time.Second)
+				if n := sim.Machines(); n > 0 {
+					t.Errorf("%d machines are left", n)
+				}
+			})
+		})
+	}
+}
+
+// The leader ends with each step half done: rented and not answered, returned and not
+// answered, recorded and never sent (the cloud is away). Its successor leaks nothing and
+// rents nothing twice.
+func TestHalfDoneSteps(t *testing.T) {
+	t.Parallel()
+	steps := map[string]struct{ begin, end func(sim *simulator.Simulation) }{
+		"rented":          {func(sim *simulator.Simulation) { sim.LoseRentalAnswers(100) }, func(sim *simulator.Simulation) { sim.LoseRentalAnswers(0) }},
+		"returned":        {func(sim *simulator.Simulation) { sim.LoseReleaseAnswers(100) }, func(sim *simulator.Simulation) { sim.LoseReleaseAnswers(0) }},
+		"only recorded":   {func(sim *simulator.Simulation) { sim.CloudOutage(true) }, func(sim *simulator.Simulation) { sim.CloudOutage(false) }},
+		"recorded, twice": {func(sim *simulator.Simulation) { sim.State.LoseAnswers(2) }, func(*simulator.Simulation) {}},
+	}
+	for name, step := range steps {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runWithFeatures(t, lilaclead.Features{RecordIntents: true}, 120, func(sim *simulator.Simulation, at func(time.Duration)) {
+				at(8 * time.Second)
+				early := array(1, 8, 6)
+				sim.Submit(early, 0)
+				at(30 * time.Second)
+				step.begin(sim)
+				a := array(2, 10, 15)
+				sim.Submit(a, 0)
+				at(45 * time.Second)
+				restartLeader(t, sim, 5*time.Second)
+				step.end(sim)
+				at(150 * time.Second)
+				mustFinish(t, sim, early, a)
+				mustRentInTurn(t, sim)
+				at(230 * time.Second)
+				if n := sim.Machines(); n > 0 {
+					t.Errorf("%d machines are left", n)
+				}
+			})
+		})
+	}
+}
+
+// A job is cleaned up while it is read slowly: between the two keys under which it may
+// lie. The reader finds it in one of them.
+func TestCleanupBesideASlowReader(t *testing.T) {
+	t.Parallel()
+	runScenario(t, 130, func(sim *simulator.Simulation, at func(time.Duration)) {
+		at(2 * time.Second)
+		sim.State.DelayReads(func(key string) time.Duration {
+			if strings.HasPrefix(key, "past/") || strings.HasPrefix(key, "job/") {
+				return 400 * time.Millisecond
+			}
+			return 0
+		})
+		var jobs []simulator.JobScript
+		for i := range 6 {
+			jobs = append(jobs, array(i+1, 1, 3+float64(i)))
+			sim.Submit(jobs[i], 0)
+		}
+		answered, stop := pollInBackground(sim, 0, jobs...)
+		at(60 * time.Second)
+		stop()
+		if *answered == 0 {
+			t.Error("nothing was answered")
+		}
+		sim.State.DelayReads(nil)
+		mustFinish(t, sim, jobs...)
+	})
+}
--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -134,6 +135,13 @@
 	return page
 }
 
+// RentalNames are those of the bookings that were filled, in that order.
+func (sim *Simulation) RentalNames() []string {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return slices.Clone(sim.rentalNames)
+}
+
 // rent answers a rental; a repeated one gets the same machines.
 func (sim *Simulation) rent(rw http.ResponseWriter, raw []byte) {
 	var b wire.RentalRequest
@@ -154,6 +162,7 @@
 			ids = append(ids, sim.boot(b.Type, b.Zone, b.Spot, time.Duration(float64(10*time.Second)*sim.bootFactor*(0.6+0.9*sim.rng.Float64()))))
 		}
 		sim.rentals[b.Name] = ids
+		sim.rentalNames = append(sim.rentalNames, b.Name)
 	}
 	if sim.loseRentalAnswers > 0 {
 		sim.loseRentalAnswers--
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -52,6 +52,7 @@
 	capacity      map[string]int // type/zone/kind -> how many more
 	machines      map[wire.MachineID]*worker
 	rentals       map[string][]wire.MachineID
+	rentalNames   []string // of those that were filled, in that order
 	listHistory   []listSnapshot
 	rentedCount   int
 	scripts       map[wire.JobID]*JobScript
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -107,7 +107,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		nw, st := simulator.NewNetwork(time.Millisecond), simulator.NewState(12, 16)
 		c := store.New(simulator.StateAddr, config.State{RPS: 100, WriteRPS: 10, ValueKB: 16, TxnOps: 12}, 1, nw.Host("10.0.0.1"))
-		srv := serve(t, nw, st)
+		stop, err := nw.ServeState(st)
+		if err != nil {
+			t.Fatal(err)
+		}
 		st.Put("job/a", 1)
 		for range 600 {
 			st.Put("job/b", make([]byte, 15<<10))
@@ -118,9 +121,6 @@
 		if all, _, err := c.List(t.Context(), store.Background, "job/"); err != nil || len(all) != 2 {
 			t.Errorf("read anew: %d keys, %v", len(all), err)
 		}
-		nw.Close()
-		srv.Close()
-		time.Sleep(5 * time.Second)
-		nw.Close()
+		stop()
 	})
 }
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -74,8 +74,18 @@
 	// Chunk is how many tasks a chunk of its progress has, fixed when the job
 	// is accepted; 0: ChunkSize.
 	Chunk int `cbor:"chunk,omitempty"`
+	// Needs is the version of the behaviour (package upgrade) from which on programs
+	// understand the record in full; 0: all do.
+	Needs uint64 `cbor:"needs,omitempty"`
 }
 
+// Version is the highest version of the behaviour that this program understands.
+const Version = 2
+
+// ErrNewer is returned for a record that only a later version understands. It is
+// neither rewritten, which would lose what is not understood, nor answered 404.
+var ErrNewer = errors.New("state: the record is of a later version")
+
 // ErrNotAJob is returned for a record that decodes, but is no job's.
 var ErrNotAJob = errors.New("state: not the record of that job")
 
@@ -90,6 +100,9 @@
 	if JobKey(rec.Spec.ID) != key || rec.Spec.Tasks < 1 || rec.Spec.Tasks > wire.MaxTasks {
 		return JobRecord{}, ErrNotAJob
 	}
+	if rec.Needs > Version {
+		return JobRecord{}, ErrNewer
+	}
 	return rec, nil
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -4,7 +4,9 @@
 package tuning
 
 import (
+	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sync/atomic"
@@ -23,6 +25,7 @@
 	KeepBoots    float64 // how long a machine is kept with nothing to do, in boot times of its type
 	LogLevel     string  // error, info, debug; empty: as LOG_LEVEL says
 	DearLimit    float64 // how many times the cheapest price an array's room may cost
+	MaxVersion   float64 // the highest version of the behaviour that is switched to; 0: any
 	StretchShare float64 // share of a deadline's slack that work may be stretched over
 }
 
@@ -52,6 +55,7 @@
 	{Name: "fleet.keep_boots", About: "how long a machine is kept with nothing to do, in boot times of its type", Min: 0, Max: 100, number: func(v *Values) *float64 { return &v.KeepBoots }},
 	{Name: "fleet.stretch_share", About: "share of a deadline's slack that an array's work may be stretched over", Min: 0.05, Max: 1, number: func(v *Values) *float64 { return &v.StretchShare }},
 	{Name: "fleet.dear_limit", About: "how many times the cheapest price the room for an array's task may cost", Min: 1, Max: 1000, number: func(v *Values) *float64 { return &v.DearLimit }},
+	{Name: "upgrade.max_version", About: "highest version of the behaviour that is switched to; 0: any that every controller understands", Min: 0, Max: 1e6, number: func(v *Values) *float64 { return &v.MaxVersion }},
 	{Name: "log.level", About: "log level of all nodes; empty: as LOG_LEVEL says", Choices: []string{"", "error", "info", "debug"}, text: func(v *Values) *string { return &v.LogLevel }},
 }
 
@@ -102,22 +106,28 @@
 	return nil
 }
 
-// Apply sets what the map names, all or nothing. Unknown names are errors
-// when strict, and ignored otherwise: a newer node may have stored them.
+// Apply sets what the map names. Strict, it is all or nothing, and unknown names are
+// errors. Otherwise these are ignored, as a newer node may have stored them, and what
+// is out of range is left as it was: one such setting once kept all others from being
+// applied. Every error is returned.
 func Apply(base Values, set map[string]any, strict bool) (Values, error) {
-	for name, value := range set {
+	applied := base
+	var errs []error
+	for _, name := range slices.Sorted(maps.Keys(set)) {
 		i := slices.IndexFunc(Fields, func(f Field) bool { return f.Name == name })
-		if i < 0 && strict {
-			return base, wire.FieldError{Field: name, Reason: "unknown setting"}
-		}
-		if i < 0 {
-			continue
-		}
-		if err := Fields[i].Set(&base, value); err != nil {
-			return base, err
+		switch {
+		case i >= 0:
+			if err := Fields[i].Set(&applied, set[name]); err != nil {
+				errs = append(errs, err)
+			}
+		case strict:
+			errs = append(errs, wire.FieldError{Field: name, Reason: "unknown setting"})
 		}
 	}
-	return base, nil
+	if strict && len(errs) > 0 {
+		return base, errors.Join(errs...)
+	}
+	return applied, errors.Join(errs...)
 }
 
 // Box shares the current values between the actors of a node.
--- a/node.go
+++ b/node.go
@@ -31,6 +31,7 @@
 	"lilaclead/internal/tuning"
 	"lilaclead/internal/undecodable"
 	"lilaclead/internal/wire"
+	"lilaclead/upgrade"
 )
 
 // Config of a node, as the platform's file gives it.
@@ -74,6 +75,7 @@
 	sockets     socketBudget
 	undecodable *undecodable.Log
 	history     *history.Recorder // nil: nothing is recorded
+	versions    *upgrade.Member   // nil: versions are not negotiated
 }
 
 // Options of a node; the zero value is the machine's own network and standard
@@ -82,6 +84,9 @@
 	Net      netio.Net
 	Log      io.Writer
 	Features Features
+	// Versions of the behaviour that this node understands, where they are negotiated;
+	// zero: all that the program does.
+	Versions upgrade.Range
 }
 
 // New makes a node; it does nothing until Run.
@@ -114,10 +119,13 @@
 	if err := n.openHistory(metrics); err != nil {
 		return nil, err
 	}
+	if err := n.joinVersions(opt.Versions); err != nil {
+		return nil, err
+	}
 	n.leader = leader.New(leader.Deps{
 		Config: cfg, Net: n.net, Store: n.store, Cloud: n.cloud, Mesh: n.mesh, Cancels: cancelled,
 		Tuning: n.tuning, Flavors: n.flavors, Log: n.log, Metrics: metrics.Leader(), Undecodable: n.undecodable,
-		RecordIntents: opt.Features.RecordIntents, Observe: n.recordDuty,
+		RecordIntents: opt.Features.RecordIntents, Observe: n.recordDuty, Versions: n.versions,
 		Sockets: n.sockets.direct, Workers: n.sockets.workers(),
 		Needed: func(workers int) int { return socketsNeeded(workers, settings.Limits, settings.Size) },
 	})
@@ -145,6 +153,30 @@
 	return nil
 }
 
+// joinVersions makes this process one of those that negotiate the active version, if
+// that is on.
+func (n *Node) joinVersions(supports upgrade.Range) error {
+	if !n.features.NegotiateVersions {
+		return nil
+	}
+	if supports == (upgrade.Range{}) {
+		supports = leader.SupportedVersions
+	}
+	member, err := upgrade.NewMember(upgrade.Options{Node: n.cfg.HostName, Supports: supports, Store: n.store, Log: n.log,
+		Observe: n.recordVersion, Undecodable: n.undecodable.Note})
+	if err != nil {
+		return err
+	}
+	n.versions = member
+	n.mesh.LearnVersion = func(v uint64) { member.Learn(upgrade.Version(v)) }
+	return nil
+}
+
+// recordVersion records an event of package upgrade.
+func (n *Node) recordVersion(e upgrade.Event) {
+	n.history.Record(history.Event{At: e.At, Kind: string(e.Kind), Token: uint64(e.Token), Version: uint64(e.Version), Why: e.Why})
+}
+
 // recordDuty records an event of package duty.
 func (n *Node) recordDuty(e duty.Event) {
 	n.history.Record(history.Event{At: e.At, Kind: string(e.Kind), Duty: string(e.Duty), Token: uint64(e.Token), Why: e.Why})
@@ -152,13 +184,18 @@
 
 // status is what the other nodes are told of this one.
 func (n *Node) status() peer.Status {
-	return peer.Status{
+	s := peer.Status{
 		Leads:            n.leader.Leads(),
 		Delegation:       n.leader.DelegationToken(),
 		StateReachable:   n.store.Reachable(),
 		ReachableWorkers: n.leader.WorkersInContact(),
 		UnconfirmedSince: n.leader.UnprovenCancelSince(),
 	}
+	if n.versions != nil {
+		s.Incarnation, s.ActiveVersion = n.versions.Incarnation(), uint64(n.versions.Active())
+		s.Refuses = n.versions.Understands() != nil
+	}
+	return s
 }
 
 func peerNames(cfg *Config) []wire.NodeID {
@@ -269,6 +306,9 @@
 
 // startActors starts what runs until the context ends.
 func (n *Node) startActors(ctx context.Context) {
+	if n.versions != nil {
+		go n.versions.Run(ctx)
+	}
 	go n.mesh.Run(ctx)
 	go n.leader.Run(ctx)
 	go n.intake.Run(ctx)
--- a/routes.go
+++ b/routes.go
@@ -1,12 +1,14 @@
 package lilaclead
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 
 	"lilaclead/internal/wire"
+	"lilaclead/upgrade"
 )
 
 // reportPath takes workers' reports.
@@ -14,19 +16,55 @@
 
 // frontRoutes are the paths of users, workers and the load balancer.
 func (n *Node) frontRoutes() http.Handler {
+	users := router()
+	n.intake.Routes(users)
 	r := router()
-	n.intake.Routes(r)
-	r.POST(reportPath, n.leader.Report)
+	r.NotFound = n.unlessRefused(n.mayServe, users)
+	r.POST(reportPath, n.unlessRefusedHandle(n.understands, n.leader.Report))
 	r.GET("/ready", n.ready)
 	return r
 }
 
+// understands says why this node must not even answer workers, and mayServe why it must
+// not serve users; nil where versions are not negotiated.
+func (n *Node) understands() error {
+	if n.versions == nil {
+		return nil
+	}
+	return n.versions.Understands()
+}
+
+func (n *Node) mayServe() error {
+	if n.versions == nil {
+		return nil
+	}
+	return n.versions.MayServe()
+}
+
+// unlessRefused serves unless the version forbids it: then it answers 503 at once.
+func (n *Node) unlessRefused(why func() error, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := why(); err != nil {
+			w.Header().Set("Connection", "close")
+			wire.Refuse(w, http.StatusServiceUnavailable, err.Error(), 1)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) unlessRefusedHandle(why func() error, h httprouter.Handle) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		n.unlessRefused(why, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h(w, r, p) })).ServeHTTP(w, r)
+	}
+}
+
 // peerRoutes are the paths of the other nodes and of operators.
 func (n *Node) peerRoutes() http.Handler {
 	r := router()
 	r.Handler("POST", "/peer/beats", n.mesh)
-	r.POST("/peer/hello", n.leader.RelayReport)
-	r.POST("/peer/ask", n.leader.RelayProbe)
+	r.POST("/peer/hello", n.unlessRefusedHandle(n.understands, n.leader.RelayReport))
+	r.POST("/peer/ask", n.unlessRefusedHandle(n.understands, n.leader.RelayProbe))
 	n.admin.Routes(r)
 	return r
 }
@@ -59,6 +97,11 @@
 
 // notReady says why users should go to other nodes, "" if they may come here.
 func (n *Node) notReady() string {
+	err := n.mayServe()
+	waits := errors.Is(err, upgrade.ErrNotPublished) || errors.Is(err, upgrade.ErrUnknown)
+	if err != nil && (!waits || n.store.Reachable()) {
+		return err.Error()
+	}
 	if n.store.Reachable() {
 		return ""
 	}
