--- a/internal/scenarios/single_holder_test.go
+++ b/internal/scenarios/single_holder_test.go
@@ -216,7 +216,9 @@
 // rents nothing twice.
 func TestHalfDoneSteps(t *testing.T) {
 	t.Parallel()
-	steps := map[string]struct{ begin, end func(sim *simulator.Simulation) }{
+	steps := map[string]struct {
+		begin, end func(sim *simulator.Simulation)
+	}{
 		"rented":          {func(sim *simulator.Simulation) { sim.LoseRentalAnswers(100) }, func(sim *simulator.Simulation) { sim.LoseRentalAnswers(0) }},
 		"returned":        {func(sim *simulator.Simulation) { sim.LoseReleaseAnswers(100) }, func(sim *simulator.Simulation) { sim.LoseReleaseAnswers(0) }},
 		"only recorded":   {func(sim *simulator.Simulation) { sim.CloudOutage(true) }, func(sim *simulator.Simulation) { sim.CloudOutage(false) }},
