--- a/internal/leader/version.go
+++ b/internal/leader/version.go
@@ -46,23 +46,39 @@
 	if t.l.Versions == nil {
 		return
 	}
+	var logged string
 	for t.pause(advanceEvery) {
-		permit, err := duty.For[duty.Cleanup](t.lease.Lease)
-		if err != nil {
-			continue
-		}
-		deployment, err := t.l.deployment(ctx)
-		if err != nil {
-			continue
-		}
-		version, err := t.l.Versions.Advance(ctx, permit, deployment)
-		if err != nil && !errors.Is(err, upgrade.ErrNotReady) {
+		version, err := t.tryAdvance(ctx)
+		if err != nil && err.Error() != logged {
+			logged = err.Error()
 			t.log().Info("the active version could not be switched", "err", err)
 		}
 		t.post(func() { t.takeVersion(version) })
 	}
 }
 
+// tryAdvance switches once if that is due, and returns the active version as far as it
+// is known then.
+func (t *term) tryAdvance(ctx context.Context) (upgrade.Version, error) {
+	versions := t.l.Versions
+	if active := versions.Active(); active >= versions.Supports.Max {
+		return active, nil
+	}
+	permit, err := duty.For[duty.Cleanup](t.lease.Lease)
+	if err != nil {
+		return 0, nil // it is tried again when the lease is held
+	}
+	deployment, err := t.l.deployment(ctx)
+	if err != nil {
+		return 0, err
+	}
+	version, err := versions.Advance(ctx, permit, deployment)
+	if errors.Is(err, upgrade.ErrNotReady) {
+		err = nil // operators see who holds it up
+	}
+	return version, err
+}
+
 // takeVersion acts by a version that is active, once the term knows all records.
 func (t *term) takeVersion(version upgrade.Version) {
 	if version > t.version && t.recovered {
--- a/upgrade/upgrade_test.go
+++ b/upgrade/upgrade_test.go
@@ -31,6 +31,7 @@
 	processes map[duty.NodeID]*process
 	// lag is how old what the others know of a controller's process may be.
 	lag      time.Duration
+	events   []string
 	replaced map[duty.NodeID]replaced
 }
 
@@ -70,7 +71,8 @@
 func (d *deployment) start(node duty.NodeID, understands upgrade.Range) *process {
 	d.stop(node)
 	ctx, cancel := context.WithCancel(d.ctx)
-	m, err := upgrade.NewMember(upgrade.Options{Node: node, Supports: understands, Store: d.client(slices.Index(controllers, node)), Follow: time.Second})
+	m, err := upgrade.NewMember(upgrade.Options{Node: node, Supports: understands, Store: d.client(slices.Index(controllers, node)), Follow: time.Second,
+		Observe: func(e upgrade.Event) { d.events = append(d.events, fmt.Sprint(node, " ", e.Kind, " ", e.Version)) }})
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -204,6 +206,11 @@
 		if g, v := d.processes["a"].Guard(); v != 2 || g.Key != upgrade.ActiveKey || g.Revision != d.state.Revision(upgrade.ActiveKey) {
 			t.Errorf("guard %+v of version %d", g, v)
 		}
+		for _, event := range []string{"c versions published 1", "a version switched 2", "b version refused 2"} {
+			if !slices.Contains(d.events, event) {
+				t.Errorf("%q was not told: %q", event, d.events)
+			}
+		}
 		tooNew := d.start("c", upgrade.Range{Min: 3, Max: 4})
 		time.Sleep(3 * time.Second)
 		if err := tooNew.MayServe(); !errors.Is(err, upgrade.ErrTooNew) {
