Upgrades: a record of versions that was removed is published again

Need: the page for operators says to remove a damaged record; its process took that for another process in its place and stopped serving until its next start.

Change: only a record that another process has written ends the service of one; a missing one is published again.

Measured: a test removes it and asks 300 times within 3 s whether it serves.

--- a/upgrade/member.go
+++ b/upgrade/member.go
@@ -165,7 +165,9 @@
 		// Nobody can switch while it is so: what was active still is.
 		return true
 	}
-	next := state{active: r.active.Version, activeAt: r.activeAt, published: last.published}
+	// A record that was removed is published again: nobody else has taken its place.
+	_, recorded := r.supports[m.Node]
+	next := state{active: r.active.Version, activeAt: r.activeAt, published: last.published && recorded}
 	next.refused = m.judge(&r, next.published)
 	if next.refused == nil && !next.published {
 		next.published = m.publish(ctx, &r)
--- a/upgrade/upgrade_test.go
+++ b/upgrade/upgrade_test.go
@@ -296,6 +296,35 @@
 	})
 }
 
+// A process whose record is removed publishes again and serves all the while; one whose
+// record another process has written serves no more.
+func TestRecordRemovedOrTaken(t *testing.T) {
+	inDeployment(t, func(d *deployment) {
+		p := d.start("a", both)
+		time.Sleep(3 * time.Second)
+		d.state.Delete(upgrade.SupportKey("a"))
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			if err := p.MayServe(); err != nil {
+				t.Fatalf("removed: %v", err)
+			}
+		}
+		if d.state.Revision(upgrade.SupportKey("a")) == 0 {
+			t.Error("not published again")
+		}
+		d.state.Put(upgrade.SupportKey("a"), upgrade.SupportRecord{Min: 1, Max: 2, Incarnation: "another"})
+		time.Sleep(3 * time.Second)
+		if err := p.MayServe(); !errors.Is(err, upgrade.ErrReplaced) {
+			t.Errorf("taken: %v", err)
+		}
+		d.state.Delete(upgrade.SupportKey("a"))
+		time.Sleep(3 * time.Second)
+		if err := p.MayServe(); !errors.Is(err, upgrade.ErrReplaced) {
+			t.Errorf("taken, then removed: %v", err)
+		}
+	})
+}
+
 // Operators see each controller, and why it holds up the next version.
 func TestStatus(t *testing.T) {
 	inDeployment(t, func(d *deployment) {
