Duties: a return that was adopted without the lease being held is made later

Need: a new leader that found a machine being returned, and did not surely hold its lease at that moment, forgot it: the machine could get tasks that the earlier leader's late request would have ended.

Change: it takes nothing from then on, and is returned with a later look at it.

Measured: a test of it.

--- a/internal/leader/intents.go
+++ b/internal/leader/intents.go
@@ -72,7 +72,11 @@
 		if _, gone := t.gone[id]; gone {
 			continue
 		}
-		t.release(t.machine(id), drainReturning)
+		// It takes nothing from now on, also where the lease is not held for a moment and
+		// the release comes with a later look at the machine.
+		m := t.machine(id)
+		m.drainReason = drainReturning
+		t.release(m, drainReturning)
 	}
 	for _, intent := range earlier.bookings {
 		b := t.rentals.Adopt(intent.Request, intent.Since.Time())
--- /dev/null
+++ b/internal/leader/intents_test.go
@@ -0,0 +1,31 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"lilaclead/internal/wire"
+)
+
+// A machine that an earlier leader was returning takes nothing, and is returned, also if
+// the lease is not surely held when that becomes known, and whatever runs there.
+func TestAdoptedReturnWithoutLease(t *testing.T) {
+	tm, m, a := rig(t)
+	ctx := t.Context()
+	tm.ctx = ctx
+	away(tm)
+	a.sent, a.reported, a.phase = true, true, wire.PhaseRunning
+	held := tm.lease
+	tm.lease = leaseFor(tm.l, tm.token, -time.Second)
+	tm.adopt(earlierIntents{returning: []wire.MachineID{m.id}})
+	if m.releasing || m.drainReason != drainReturning {
+		t.Errorf("without a lease: releasing %v, drains as %q", m.releasing, m.drainReason)
+	}
+	tm.lease = held
+	now := time.Now()
+	m.seenAt, m.directReportAt, m.answeredAt = now, now, now
+	tm.watchMachines(now)
+	if !m.releasing || len(m.tasks) != 1 {
+		t.Errorf("with the lease: releasing %v, %d tasks", m.releasing, len(m.tasks))
+	}
+}
--- a/internal/leader/liveness.go
+++ b/internal/leader/liveness.go
@@ -222,7 +222,8 @@
 		return
 	}
 	t.expire(m, now)
-	if m.drainReason != "" && len(m.tasks) == 0 && len(m.orphans) == 0 && t.writer.allStored(m.usedAt, time.Now()) {
+	idle := len(m.tasks) == 0 && len(m.orphans) == 0 && t.writer.allStored(m.usedAt, time.Now())
+	if m.drainReason == drainReturning || m.drainReason != "" && idle {
 		t.release(m, m.drainReason)
 		return
 	}
