The change read once more: one place for each judgement, dead code out, machine types guarded

Need: whether a range holds a version was judged twice with the same words; two shapes of one field of the features file; a fake's setter and a count were left from a scenario that was left out. docs/duties.md said that every write of a leader is guarded by its key, but the machine types and prices were stored without.

Change: Range.check, nameOf and typed are the one place each; the leftovers are gone. The machine types go through a permit like all else: that one write now fails once another leads. Nothing else behaves differently.

Measured: a test of the guard.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -85,6 +85,12 @@
 // another.
 type Duty interface{ Name() Name }
 
+// nameOf a duty.
+func nameOf[D Duty]() Name {
+	var d D
+	return d.Name()
+}
+
 // The scheduler's own duties.
 type (
 	// Renting asks the cloud for machines.
--- a/duty/intents.go
+++ b/duty/intents.go
@@ -47,10 +47,7 @@
 	return &Intents[D, T]{lease: l, limit: limit}
 }
 
-func (i *Intents[D, T]) key() string {
-	var d D
-	return IntentKey(d.Name())
-}
+func (i *Intents[D, T]) key() string { return IntentKey(nameOf[D]()) }
 
 // Load reads what an earlier holder left open, and when that was recorded. Nothing
 // can be recorded before.
--- a/duty/permit.go
+++ b/duty/permit.go
@@ -17,10 +17,7 @@
 }
 
 // Name of the duty.
-func (Permit[D]) Name() Name {
-	var d D
-	return d.Name()
-}
+func (Permit[D]) Name() Name { return nameOf[D]() }
 
 // Check tells whether the act may be carried out now: nil, ErrNotHeld or ErrNoPermit.
 func (p Permit[D]) Check() error {
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -45,29 +45,23 @@
 	mustBePositive = "must be a number above 0"
 )
 
-// flag is a field that turns a part on.
-func flag(name string, at func(*Features) *bool) field {
+// typed is a field that takes values of one type.
+func typed[T bool | string](name, must string, at func(*Features) *T) field {
 	return field{name, func(f *Features, value any) error {
-		on, ok := value.(bool)
+		v, ok := value.(T)
 		if !ok {
-			return errors.New(mustBeBool)
+			return errors.New(must)
 		}
-		*at(f) = on
+		*at(f) = v
 		return nil
 	}, func(f *Features) any { return *at(f) }}
 }
 
+// flag is a field that turns a part on.
+func flag(name string, at func(*Features) *bool) field { return typed(name, mustBeBool, at) }
+
 // text is a field that is a text.
-func text(name string, at func(*Features) *string) field {
-	return field{name, func(f *Features, value any) error {
-		s, ok := value.(string)
-		if !ok {
-			return errors.New(mustBeText)
-		}
-		*at(f) = s
-		return nil
-	}, func(f *Features) any { return *at(f) }}
-}
+func text(name string, at func(*Features) *string) field { return typed(name, mustBeText, at) }
 
 // positive is a field that is a number above 0.
 func positive(name string, at func(*Features) *float64) field {
--- a/internal/leader/intents_test.go
+++ b/internal/leader/intents_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"lilaclead/internal/simulator"
+	"lilaclead/internal/store"
 	"lilaclead/internal/wire"
 )
 
@@ -29,3 +31,18 @@
 		t.Errorf("with the lease: releasing %v, %d tasks", m.releasing, len(m.tasks))
 	}
 }
+
+// The machine types are stored only while this node leads, as all that a leader writes.
+func TestMachineSpecsAreGuarded(t *testing.T) {
+	withState(t, func(tm *term, _ *machine, st *simulator.State, _ func()) {
+		specs := []wire.MachineSpec{{Name: "c4"}}
+		if !tm.storeMachineSpecs(tm.ctx, specs) || st.Revision(store.FlavorsKey) == 0 {
+			t.Error("not stored while this node leads")
+		}
+		stored := st.Revision(store.FlavorsKey)
+		st.Put(store.LeadKey, store.LeadRecord{Node: "b", Nonce: "other"})
+		if tm.storeMachineSpecs(tm.ctx, specs) || st.Revision(store.FlavorsKey) != stored {
+			t.Error("stored though another node leads")
+		}
+	})
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lilaclead/duty"
 	"lilaclead/internal/leader/detector"
 	"lilaclead/internal/placement"
 	"lilaclead/internal/store"
@@ -242,6 +243,16 @@
 	}
 }
 
+// storeMachineSpecs stores the types and prices, as long as this node leads.
+func (t *term) storeMachineSpecs(ctx context.Context, specs []wire.MachineSpec) bool {
+	permit, err := duty.For[duty.Cleanup](t.lease.Lease)
+	if err != nil {
+		return false
+	}
+	_, err = permit.Commit(ctx, store.Background, wire.Txn{Writes: []wire.Write{{Put: store.FlavorsKey, Value: wire.Encode(wire.MachineSpecs{Types: specs})}}})
+	return err == nil
+}
+
 // pollMachineSpecs keeps the types and prices fresh and stores them for nodes
 // that start while the cloud is down.
 func (t *term) pollMachineSpecs(ctx context.Context) {
@@ -251,10 +262,7 @@
 		next := 20 * time.Second
 		if err == nil {
 			t.l.Flavors.Set(fs)
-			if !stored {
-				_, err := t.l.Store.Commit(ctx, store.Background, wire.Txn{Writes: []wire.Write{{Put: store.FlavorsKey, Value: wire.Encode(wire.MachineSpecs{Types: fs})}}})
-				stored = err == nil
-			}
+			stored = stored || t.storeMachineSpecs(ctx, fs)
 			t.post(t.requestRound)
 		} else {
 			next = 2*time.Second + rand.N(time.Second)
--- a/internal/simulator/cloud_faults.go
+++ b/internal/simulator/cloud_faults.go
@@ -42,19 +42,6 @@
 	sim.mu.Unlock()
 }
 
-// SetCapacity makes the cloud have so many ordinary machines of each type in each zone,
-// and no spot machines.
-func (sim *Simulation) SetCapacity(n int) {
-	sim.mu.Lock()
-	defer sim.mu.Unlock()
-	for _, f := range sim.machineTypes {
-		for _, z := range f.Zones {
-			sim.capacity[capacityKey(f.Name, z, false)] = n
-			sim.capacity[capacityKey(f.Name, z, true)] = 0
-		}
-	}
-}
-
 // SellOutEverything makes the cloud refuse every further machine, whatever is returned.
 func (sim *Simulation) SellOutEverything() {
 	sim.mu.Lock()
--- a/internal/simulator/late_requests.go
+++ b/internal/simulator/late_requests.go
@@ -11,12 +11,11 @@
 // LateRequests is what became of the rentals and releases that the cloud carried out
 // late.
 type LateRequests struct {
-	Held        int // requests that were held back
-	CarriedOut  int // of these
-	Rented      int // machines that a late rental made
-	Released    int // machines that a late release took
-	EndedTasks  int // tasks that ran on these
-	ReleaseHeld []wire.MachineID
+	Held       int // requests that were held back
+	CarriedOut int // of these
+	Rented     int // machines that a late rental made
+	Released   int // machines that a late release took
+	EndedTasks int // tasks that ran on these
 }
 
 // lateRequests is the part of the cloud that holds requests back. The simulation's
@@ -52,10 +51,6 @@
 		carryOut = func() { sim.rentLate(raw) }
 	case r.URL.Path == "/machines/release" && sim.late.releases > 0:
 		sim.late.releases--
-		var h wire.MachineNames
-		if wire.Decode(raw, &h) == nil {
-			sim.late.seen.ReleaseHeld = append(sim.late.seen.ReleaseHeld, h.Machines...)
-		}
 		carryOut = func() { sim.releaseLate(raw) }
 	default:
 		return false
--- a/routes.go
+++ b/routes.go
@@ -18,6 +18,7 @@
 func (n *Node) frontRoutes() http.Handler {
 	users := router()
 	n.intake.Routes(users)
+	// What is not named here is a user's path, or none: the users' router answers that.
 	r := router()
 	r.NotFound = n.unlessRefused(n.mayServe, users)
 	r.POST(reportPath, n.unlessRefusedHandle(n.understands, n.leader.Report))
--- a/upgrade/member.go
+++ b/upgrade/member.go
@@ -99,13 +99,12 @@
 // Understands says why this process must not even acknowledge others: nil once a
 // version is known to be active that it understands, and none that it does not.
 func (m *Member) Understands() error {
-	switch v := m.Active(); {
-	case v == 0:
+	v := m.Active()
+	if v == 0 {
 		return m.state.Load().refused
-	case v > m.Supports.Max:
-		return fmt.Errorf("%w: %d, understood are %v", ErrTooOld, v, m.Supports)
-	case v < m.Supports.Min:
-		return fmt.Errorf("%w: %d, understood are %v", ErrTooNew, v, m.Supports)
+	}
+	if err := m.Supports.check(v); err != nil {
+		return err
 	}
 	if err := m.state.Load().refused; errors.Is(err, ErrReplaced) || errors.Is(err, ErrUndecodable) {
 		return err
@@ -189,10 +188,8 @@
 		return fmt.Errorf("%w: %s", ErrUndecodable, SupportKey(m.Node))
 	case r.damaged(SupportKey(m.Node)):
 		return nil // damage, and no other process: that one would have refused
-	case r.active.Version > m.Supports.Max:
-		return fmt.Errorf("%w: %d, understood are %v", ErrTooOld, r.active.Version, m.Supports)
-	case r.active.Version < m.Supports.Min:
-		return fmt.Errorf("%w: %d, understood are %v", ErrTooNew, r.active.Version, m.Supports)
+	case !m.Supports.Contains(r.active.Version):
+		return m.Supports.check(r.active.Version)
 	case published && own.record.Incarnation != m.incarnation, errors.Is(m.state.Load().refused, ErrReplaced):
 		return ErrReplaced
 	}
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -33,6 +33,17 @@
 // Contains tells whether a version is understood.
 func (r Range) Contains(v Version) bool { return r.Min <= v && v <= r.Max }
 
+// check says why a version is not understood, nil if it is.
+func (r Range) check(v Version) error {
+	switch {
+	case v > r.Max:
+		return fmt.Errorf("%w: %d, understood are %v", ErrTooOld, v, r)
+	case v < r.Min:
+		return fmt.Errorf("%w: %d, understood are %v", ErrTooNew, v, r)
+	}
+	return nil
+}
+
 func (r Range) String() string { return fmt.Sprintf("%d to %d", r.Min, r.Max) }
 
 // Validate says what is wrong with a range.
