--- a/review/.standin/worker.go
+++ b/review/.standin/worker.go
@@ -201,6 +201,9 @@
 	return r
 }
 
+// maxRequestBytes is the largest body of a request, in JSON.
+const maxRequestBytes = 64 << 10
+
 // reportLoop reports to one controller until that fails, then to the next or to the one that is
 // named.
 func (w *worker) reportLoop() {
@@ -215,9 +218,14 @@
 		w.mu.Unlock()
 		sent := time.Now()
 		status, body := 0, []byte(nil)
-		if mute {
+		switch {
+		case mute:
 			sleep(w.ctx, 4*time.Second)
-		} else {
+		case jsonSize(r) > maxRequestBytes:
+			// The pages allow no such request, and don't say what a worker does instead. It goes on as if
+			// it could not open the connection.
+			w.d.record.logf("report of %s (shift %d, %d parts) has %d bytes and can't be sent", r.Host, r.Shift, len(r.Parts), jsonSize(r))
+		default:
 			status, body = call(w.ctx, client, http.MethodPost, "http://"+w.d.through(fmt.Sprintf("%s-%d", w.site, target), w.d.nodes[target].front)+"/hello", r, 4*time.Second)
 		}
 		if w.d.onReport != nil {
