Status, view and metrics say why no machines are requested for a waiting job

Held back for its failures, priced out, out of offers or at its team's limit: nothing told them apart.

Change: the capacity estimate and the plan record a reason for each job for some or all of whose pending tasks no machines are requested. It is shown as scale_out_holds in the status line, as the gauge lilaclead_scale_out_holds by reason, and per job in GET /admin/view (scale_out_hold, failed_machines, retry_in_s; additive). fleet.Plan lists its unmet demands; what is planned is unchanged.

--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -29,6 +29,7 @@
 	interruptions    *prometheus.CounterVec
 	fleetChanges     *prometheus.CounterVec
 	machines         *prometheus.GaugeVec
+	scaleOutHolds    *prometheus.GaugeVec
 }
 
 // Upper bounds of the buckets of histograms, in seconds.
@@ -55,6 +56,7 @@
 		interruptions:    factory.counterVec("lilaclead_moves_total", "Tasks that ended before they were done.", "why"),
 		fleetChanges:     factory.counterVec("lilaclead_fleet_total", "Machines rented, drained and released.", "what"),
 		machines:         factory.gaugeVec("lilaclead_machines", "Machines by state, as the leader knows them.", "state"),
+		scaleOutHolds:    factory.gaugeVec("lilaclead_scale_out_holds", "Jobs for which the leader requests no machines, or fewer than for all tasks, by reason.", "reason"),
 	}
 }
 
@@ -135,7 +137,8 @@
 		Command:         func(outcome string) { m.commands.WithLabelValues(outcome).Inc() },
 		TaskInterrupted: func(reason string) { m.interruptions.WithLabelValues(reason).Inc() },
 		FleetChange:     func(change string, machines int) { m.fleetChanges.WithLabelValues(change).Add(float64(machines)) },
-		Machines:        m.setMachines,
+		ScaleOutHolds:   func(byReason map[string]int) { setGauges(m.scaleOutHolds, byReason) },
+		Machines:        func(byState map[string]int) { setGauges(m.machines, byState) },
 	}
 }
 
@@ -147,12 +150,12 @@
 	m.preemptions.Add(float64(preempted))
 }
 
-// setMachines sets the number of machines in each state. States that byState lacks are no
-// longer exposed.
-func (m *Metrics) setMachines(byState map[string]int) {
-	m.machines.Reset()
-	for state, machines := range byState {
-		m.machines.WithLabelValues(state).Set(float64(machines))
+// setGauges sets the gauges of a metric with one label, by the label's value. Values that the
+// map lacks are no longer exposed.
+func setGauges(gauges *prometheus.GaugeVec, byLabel map[string]int) {
+	gauges.Reset()
+	for label, number := range byLabel {
+		gauges.WithLabelValues(label).Set(float64(number))
 	}
 }
 
--- a/internal/admin/metrics_test.go
+++ b/internal/admin/metrics_test.go
@@ -48,6 +48,8 @@
 	hooks.FleetChange("drained", 3)
 	hooks.Machines(map[string]int{"up": 3, "booting": 1})
 	hooks.Machines(map[string]int{"up": 2})
+	hooks.ScaleOutHolds(map[string]int{"failures": 4, "no offer": 1})
+	hooks.ScaleOutHolds(map[string]int{"failures": 3})
 
 	lines := exposedLines(t, metrics)
 	for _, want := range []string{
@@ -71,6 +73,7 @@
 		`lilaclead_moves_total{why="lease expired"} 1`,
 		`lilaclead_fleet_total{what="drained"} 3`,
 		`lilaclead_machines{state="up"} 2`,
+		`lilaclead_scale_out_holds{reason="failures"} 3`,
 		`lilaclead_budget_left{budget="state requests"} 4.5`,
 		`lilaclead_history_events_total{outcome="written"} 1`,
 		`lilaclead_history_events_total{outcome="dropped"} 2`,
@@ -92,6 +95,7 @@
 		"# TYPE lilaclead_reports_total counter",
 		"# TYPE lilaclead_request_seconds histogram",
 		"# TYPE lilaclead_round_seconds histogram",
+		"# TYPE lilaclead_scale_out_holds gauge",
 		"# TYPE lilaclead_starts_total counter",
 		"# TYPE lilaclead_terms_total counter",
 		"# TYPE lilaclead_wait_seconds histogram",
@@ -106,8 +110,8 @@
 		t.Errorf("types of the metrics: got %q, want %q", types, wantTypes)
 	}
 	for _, line := range lines {
-		if strings.Contains(line, `state="booting"`) {
-			t.Errorf("got %q, want no state that the last update lacks", line)
+		if strings.Contains(line, `state="booting"`) || strings.Contains(line, `reason="no offer"`) {
+			t.Errorf("got %q, want no label value that the last update lacks", line)
 		}
 	}
 	if t.Failed() {
--- a/internal/compat/samples_test.go
+++ b/internal/compat/samples_test.go
@@ -84,6 +84,7 @@
 		{"machine view", fullMachineView()},
 		{"machine view, spot", leader.MachineView{Name: "n-6", Spot: true}},
 		{"job view", fullJobView()},
+		{"job view of a failing job", failingJobView()},
 	}
 }
 
@@ -145,3 +146,10 @@
 func fullJobView() leader.JobView {
 	return leader.JobView{ID: "req-000421", Class: "train", Team: "vision", Tasks: 31, DoneTasks: 32, ActiveTasks: 33, TaskFailures: 34, AgeSeconds: 35.5, Cancelled: true}
 }
+
+// failingJobView sets the fields that versions before them do not send.
+func failingJobView() leader.JobView {
+	view := fullJobView()
+	view.FailedMachines, view.RetryInSeconds, view.ScaleOutHold = 46, 47.5, "failures"
+	return view
+}
--- a/internal/fleet/all_or_nothing.go
+++ b/internal/fleet/all_or_nothing.go
@@ -10,15 +10,18 @@
 // packAllOrNothing reserves resources for all units of a demand or for none. Where the free ones
 // don't suffice, it adds machines.
 func (p *packer) packAllOrNothing(d *Demand) {
-	for _, offer := range p.cheapestOffersForAll(d) {
+	offers, unmetReason := p.cheapestOffersForAll(d)
+	for _, offer := range offers {
 		p.addMachine(offer, d).used = true
 	}
-	p.reserveAllOrNothing(d)
+	if !p.reserveAllOrNothing(d) {
+		p.addUnmet(d, unmetReason)
+	}
 }
 
 // reserveAllOrNothing reserves resources for all units of a demand, in the first zone that has
-// enough of them. If no zone has, it reserves nothing.
-func (p *packer) reserveAllOrNothing(d *Demand) {
+// enough of them. If no zone has, it reserves nothing and returns false.
+func (p *packer) reserveAllOrNothing(d *Demand) bool {
 	unit := placement.ResourcesOf(d.Spec)
 	for _, zone := range p.zonesFor(d, nil) {
 		count := newUnitCount(d)
@@ -29,8 +32,9 @@
 		for _, f := range fills {
 			p.bins[f.bin].reserve(unit, f.units)
 		}
-		return
+		return true
 	}
+	return false
 }
 
 // anyZone is used in place of a zone where units may be spread over all zones.
@@ -131,23 +135,34 @@
 
 // cheapestOffersForAll returns the offers from which machines are added at the lowest cost until
 // all units of a demand fit, one index for each machine. It returns none if all units fit already,
-// or if they can't all be placed: a part of such a demand is of no use.
-func (p *packer) cheapestOffersForAll(d *Demand) []int {
+// or if they can't all be placed: a part of such a demand is of no use. The reason says why they
+// can't be placed.
+func (p *packer) cheapestOffersForAll(d *Demand) ([]int, UnmetReason) {
 	var best *offerPicks
+	reason := UnmetByOffers
 	for _, zone := range p.zonesFor(d, p.offers) {
 		picks := p.pickOffersIn(zone, d)
-		if picks != nil && (best == nil || picks.cost < best.cost) {
+		if picks == nil {
+			continue
+		}
+		// The cost is divided by all units, including those that fit on present machines: for the
+		// last unit alone, any machine would be too expensive.
+		if p.tooExpensive(d, picks.cost/float64(d.Units)) {
+			reason = UnmetByPrice
+			continue
+		}
+		if best == nil || picks.cost < best.cost {
 			best = picks
 		}
 	}
 	if best == nil {
-		return nil
+		return nil, reason
 	}
-	return best.offers
+	return best.offers, reason
 }
 
 // pickOffersIn picks offers in a zone for the units of a demand that the bins there can't hold. It
-// returns nil if the offers can't hold them either, or if they are too expensive.
+// returns nil if the offers can't hold them either.
 func (p *packer) pickOffersIn(zone wire.Zone, d *Demand) *offerPicks {
 	count := newUnitCount(d)
 	p.placeInBins(count, zone)
@@ -161,9 +176,7 @@
 		picks.add(offer, o.PricePerHour)
 		count.add(o.Zone, units)
 	}
-	// The cost is divided by all units, including those that fit on present machines: for the last
-	// unit alone, any machine would be too expensive.
-	if count.left > 0 || p.tooExpensive(d, picks.cost/float64(d.Units)) {
+	if count.left > 0 {
 		return nil
 	}
 	return picks
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,9 @@
 	// PriceLimitFactor multiplies Snapshot.MaxPriceRatio for this demand. Values below 1, including
 	// the zero value, leave the limit unchanged.
 	PriceLimitFactor float64
+	// Reserve means that the resources are kept free for expected jobs like Spec's. A plan does
+	// not report such a demand as unmet.
+	Reserve bool
 }
 
 // Snapshot is the input of a plan.
@@ -110,4 +113,24 @@
 	// Cordons are machines that should take array and gang tasks only if no other machine can. Their
 	// present load would fit on other machines, so that they become idle and can be returned.
 	Cordons []wire.MachineID
+	// Unmet are the demands with units for which there are no resources and no machines are added.
+	Unmet []UnmetDemand
 }
+
+// UnmetDemand is a job for some or all of whose units a plan has neither resources nor machines
+// to add.
+type UnmetDemand struct {
+	Job    wire.JobID
+	Reason UnmetReason
+}
+
+// UnmetReason is why a plan leaves a demand unmet.
+type UnmetReason int
+
+// Reasons for which demands are unmet.
+const (
+	// UnmetByOffers means that no offer suits the job.
+	UnmetByOffers UnmetReason = iota
+	// UnmetByPrice means that the offers that suit the job exceed its price limit.
+	UnmetByPrice
+)
--- a/internal/fleet/packer.go
+++ b/internal/fleet/packer.go
@@ -16,6 +16,7 @@
 	offers          []Offer
 	demands         []Demand // the highest rank first
 	added           []addedMachine
+	unmet           []UnmetDemand
 	binsByZone      map[wire.Zone]int // number of bins, those of added machines included
 	kinds           []unitKind        // of the demands, by the same index
 	laterUnits      map[unitKind]int  // number of units of the demands after the current one
@@ -85,15 +86,24 @@
 	for left > 0 && len(p.added) < p.snapshot.MaxMachinesAdded {
 		offer, cost, ok := p.cheapestOffer(d, kind, left)
 		if !ok {
+			p.addUnmet(d, UnmetByOffers)
 			return
 		}
 		if !d.Spec.IsService() && p.tooExpensive(d, cost) {
-			return // running late is preferred to paying more than the price limit
+			p.addUnmet(d, UnmetByPrice) // running late is preferred to paying more than the price limit
+			return
 		}
 		left -= p.addMachine(offer, d).fill(d, left)
 	}
 }
 
+// addUnmet records that the plan leaves a demand unmet.
+func (p *packer) addUnmet(d *Demand, reason UnmetReason) {
+	if !d.Reserve {
+		p.unmet = append(p.unmet, UnmetDemand{Job: d.Spec.ID, Reason: reason})
+	}
+}
+
 // packIntoFree assigns up to maxUnits units to free resources, and returns how many.
 func (p *packer) packIntoFree(d *Demand, maxUnits int) int {
 	filled := 0
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -21,7 +21,7 @@
 			p.pack(d, kind)
 		}
 	}
-	plan := Plan{ScaleOuts: p.scaleOuts(), ScaleIns: p.scaleIns()}
+	plan := Plan{ScaleOuts: p.scaleOuts(), ScaleIns: p.scaleIns(), Unmet: p.unmet}
 	if len(plan.ScaleOuts) == 0 {
 		plan.Cordons = planCordons(s, p.bins)
 	}
--- a/internal/leader/autoscaler/plan.go
+++ b/internal/leader/autoscaler/plan.go
@@ -18,6 +18,7 @@
 		return
 	}
 	plan := s.scheduler.PlanCapacity(specs, s.mayScaleOut(), now)
+	s.Metrics.ScaleOutHolds(plan.Holds.Counts())
 	for _, scaleOut := range plan.ScaleOuts {
 		s.requestMachinesInBatches(scaleOut)
 	}
--- a/internal/leader/autoscaler/rig_test.go
+++ b/internal/leader/autoscaler/rig_test.go
@@ -72,7 +72,7 @@
 	token := wire.FencingToken(sim.State.Put(store.LeaderKey, candidate.LeaseRecord()))
 	now := time.Now()
 	lease := election.NewLease(candidate, election.Acquisition{Token: token, AcquiredAt: now, ValidUntil: now.Add(time.Hour)})
-	metrics := &core.Metrics{FleetChange: func(string, int) {}, TaskInterrupted: func(string) {}}
+	metrics := &core.Metrics{FleetChange: func(string, int) {}, TaskInterrupted: func(string) {}, ScaleOutHolds: func(map[string]int) {}}
 	loop := core.NewLoop(lease, log, metrics)
 	catalog := &cluster.MachineCatalog{}
 	state := cluster.NewState(&settings, catalog, now, token)
--- a/internal/leader/core/metrics.go
+++ b/internal/leader/core/metrics.go
@@ -11,6 +11,8 @@
 	Command         func(outcome string)
 	TaskInterrupted func(reason string)
 	FleetChange     func(change string, machines int)
+	// ScaleOutHolds sets the number of jobs for which no machines are requested, by reason.
+	ScaleOutHolds func(byReason map[string]int)
 	// Machines sets the number of machines in each state.
 	Machines func(byState map[string]int)
 }
--- a/internal/leader/helpers_test.go
+++ b/internal/leader/helpers_test.go
@@ -70,6 +70,7 @@
 		TaskInterrupted: func(string) {},
 		StartDelay:      func(string, float64) {},
 		FleetChange:     func(string, int) {},
+		ScaleOutHolds:   func(map[string]int) {},
 		Machines:        func(map[string]int) {},
 	}
 }
--- a/internal/leader/scheduling/capacity/demand_estimate.go
+++ b/internal/leader/scheduling/capacity/demand_estimate.go
@@ -29,7 +29,10 @@
 
 // addJob adds the demands for the wanted tasks of a waiting job.
 func (e *demandEstimate) addJob(job *cluster.Job) {
-	units := e.wantedUnits(job)
+	units, hold := e.wantedUnits(job)
+	if hold != "" {
+		e.Holds[job.Spec.ID] = hold
+	}
 	if units <= 0 {
 		return
 	}
@@ -75,25 +78,29 @@
 
 // wantedUnits returns the number of a job's tasks for which resources are wanted now. Not all
 // tasks of a job array need to run at once: its work may be stretched over a share of the time
-// that its deadline leaves. The team's limit bounds the number for every job.
-func (e *demandEstimate) wantedUnits(job *cluster.Job) int {
+// that its deadline leaves. The team's limit bounds the number for every job. The
+// reason is empty unless it lowers the number.
+func (e *demandEstimate) wantedUnits(job *cluster.Job) (int, HoldReason) {
 	team, ok := e.state.Settings.Team(job.Spec.Team)
 	if !ok {
-		return 0
+		return 0, HeldByTeamLimit
 	}
 	gang := job.Spec.IsGang()
 	if gang && job.ActiveTasks > 0 {
-		return 0 // all tasks of its last attempt must end first
+		return 0, HeldByLastAttempt
 	}
 	units := job.PendingTasks()
 	if !job.Spec.IsService() && !gang {
 		units = demand.ParallelTasks(units, valuation.TimingOf(job, e.now), e.state.Settings.Objectives, e.stretchShare)
 	}
 	allowed := placement.ResourcesOf(&job.Spec).UnitsIn(limitLeft(team.MaxCPUs, team.MaxGPUs, e.teamUsage[job.Spec.Team]))
-	if gang && allowed < units {
-		return 0
+	switch {
+	case allowed >= units:
+		return units, ""
+	case gang:
+		return 0, HeldByTeamLimit
 	}
-	return min(units, allowed)
+	return allowed, HeldByTeamLimit
 }
 
 // limitLeft returns the resources that a team may use in addition to those that it uses. A
@@ -122,5 +129,5 @@
 		zoneCapacityLeft[zone] = (spare.Count + 1) / 2
 	}
 	spec := &wire.JobSpec{Kind: wire.KindService, Priority: wire.PriorityProd, Tasks: spare.Count, CPUs: spare.ReplicaResources.CPUs, MemoryGB: spare.ReplicaResources.MemoryGB}
-	e.demands = append(e.demands, fleet.Demand{Spec: spec, Units: spare.Count, Rank: spareReplicaRank, ZoneCapacityLeft: zoneCapacityLeft})
+	e.demands = append(e.demands, fleet.Demand{Spec: spec, Units: spare.Count, Rank: spareReplicaRank, ZoneCapacityLeft: zoneCapacityLeft, Reserve: true})
 }
--- a/internal/leader/scheduling/capacity/demands.go
+++ b/internal/leader/scheduling/capacity/demands.go
@@ -39,6 +39,9 @@
 	// BacklogSeconds is how many seconds the present resources would need for all waiting
 	// work. Demands sets it.
 	BacklogSeconds float64
+	// Holds are the jobs for which the last plan requested no machines. Demands and
+	// Planner.Plan set it.
+	Holds Holds
 
 	state   *cluster.State
 	tuning  *tuning.Current
@@ -54,6 +57,7 @@
 // Demands returns the demands of the waiting jobs, and the demand for the resources that are
 // kept free for the next replicas, at least minSpareReplicas of them.
 func (e *Estimator) Demands(now time.Time, stretchShare, minSpareReplicas float64) []fleet.Demand {
+	e.Holds = Holds{}
 	jobs := e.waitingJobs()
 	estimate := &demandEstimate{
 		Estimator:    e,
@@ -70,12 +74,18 @@
 	return estimate.demands
 }
 
-// waitingJobs returns the jobs with tasks to be placed, in the order in which they were
-// accepted.
+// waitingJobs returns the jobs with tasks to be placed for which machines may be requested,
+// in the order in which they were accepted. It records the others as held.
 func (e *Estimator) waitingJobs() []*cluster.Job {
 	jobs := make([]*cluster.Job, 0, len(e.state.Jobs))
 	for _, job := range e.state.Jobs {
-		if e.eligibleForScaleOut(job) {
+		switch {
+		case !hasPendingTasks(job):
+		case e.state.IsQuarantined(job.Spec.ID):
+			e.Holds[job.Spec.ID] = HeldByQuarantine
+		case job.TaskFailures >= scaleOutFailureLimit:
+			e.Holds[job.Spec.ID] = HeldByFailures
+		default:
 			jobs = append(jobs, job)
 		}
 	}
@@ -83,12 +93,6 @@
 	return jobs
 }
 
-// eligibleForScaleOut reports whether machines may be requested for a job.
-func (e *Estimator) eligibleForScaleOut(job *cluster.Job) bool {
-	waiting := !job.Cancelled && !job.Finished && job.PendingTasks() > 0
-	return waiting && job.TaskFailures < scaleOutFailureLimit && !e.state.IsQuarantined(job.Spec.ID)
-}
-
 // usedByTeam returns the resources that each team's active tasks take.
 func (e *Estimator) usedByTeam() map[wire.TeamID]placement.Resources {
 	used := map[wire.TeamID]placement.Resources{}
@@ -104,7 +108,7 @@
 func (e *Estimator) ReservesFor(gangs []*wire.JobSpec) []fleet.Demand {
 	var reserves []fleet.Demand
 	for _, spec := range gangs {
-		reserve := fleet.Demand{Spec: spec, Units: spec.Tasks, Rank: gangReserveRank, AllOrNothing: true}
+		reserve := fleet.Demand{Spec: spec, Units: spec.Tasks, Rank: gangReserveRank, AllOrNothing: true, Reserve: true}
 		if spec.Spread {
 			reserve.ZoneCapacityLeft = map[wire.Zone]int{}
 			for _, zone := range e.state.Zones() {
--- a/internal/leader/scheduling/capacity/demands_test.go
+++ b/internal/leader/scheduling/capacity/demands_test.go
@@ -94,15 +94,16 @@
 		name   string
 		spec   wire.JobSpec
 		change func(s *testPlanner, job *cluster.Job)
+		hold   HoldReason
 	}{
-		{"cancelled", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.Cancelled = true }},
-		{"finished", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.Finished = true }},
-		{"nothing pending", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.ActiveTasks = 2 }},
-		{"fails wherever it runs", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.TaskFailures = scaleOutFailureLimit }},
-		{"quarantined", schedulingtest.Array("req-1", 2), func(s *testPlanner, _ *cluster.Job) { s.State.QuarantinedJobs["req-1"] = true }},
-		{"of an unknown team", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.Spec.Team = "unknown" }},
-		{"a gang whose last attempt has not ended", schedulingtest.Gang("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.ActiveTasks = 1 }},
-		{"a gang beyond its team's limit", schedulingtest.Gang("req-1", 21), func(*testPlanner, *cluster.Job) {}},
+		{"cancelled", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.Cancelled = true }, ""},
+		{"finished", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.Finished = true }, ""},
+		{"nothing pending", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.ActiveTasks = 2 }, ""},
+		{"fails wherever it runs", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.TaskFailures = scaleOutFailureLimit }, HeldByFailures},
+		{"quarantined", schedulingtest.Array("req-1", 2), func(s *testPlanner, _ *cluster.Job) { s.State.QuarantinedJobs["req-1"] = true }, HeldByQuarantine},
+		{"of an unknown team", schedulingtest.Array("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.Spec.Team = "unknown" }, HeldByTeamLimit},
+		{"a gang whose last attempt has not ended", schedulingtest.Gang("req-1", 2), func(_ *testPlanner, j *cluster.Job) { j.ActiveTasks = 1 }, HeldByLastAttempt},
+		{"a gang beyond its team's limit", schedulingtest.Gang("req-1", 21), func(*testPlanner, *cluster.Job) {}, HeldByTeamLimit},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -111,6 +112,9 @@
 			if demands := s.demandsOf("req-1"); len(demands) != 0 {
 				t.Errorf("%s: demands %+v, want none", c.name, demands)
 			}
+			if hold := s.Holds["req-1"]; hold != c.hold {
+				t.Errorf("%s: held for reason %q, want %q", c.name, hold, c.hold)
+			}
 		})
 	}
 }
--- a/internal/leader/scheduling/capacity/planner.go
+++ b/internal/leader/scheduling/capacity/planner.go
@@ -36,6 +36,8 @@
 // Plan is what to scale out and in and what to cordon, with the machines that were considered.
 type Plan struct {
 	fleet.Plan
+	// Holds are the jobs for which the plan requests no machines.
+	Holds      Holds
 	candidates []*cluster.Machine
 }
 
@@ -58,7 +60,8 @@
 func (p *Planner) Plan(input Input) Plan {
 	candidates := p.candidates()
 	plan := fleet.MakePlan(p.snapshot(candidates, input))
-	return Plan{Plan: plan, candidates: candidates}
+	p.estimator.Holds.addUnmet(plan.Unmet)
+	return Plan{Plan: plan, Holds: p.estimator.Holds, candidates: candidates}
 }
 
 // ApplyCordons cordons the machines that the plan names, and uncordons all others that were
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -49,6 +49,7 @@
 		"tasks_active", counts.active,
 		"tasks_pending", counts.tasks-counts.active-counts.done,
 		"backlog_s", int(t.scheduler.BacklogSeconds),
+		"scale_out_holds", t.scheduler.Holds.String(),
 		"cycle_duration", t.state.CycleTimer.LastDuration,
 		"tick_delay", time.Since(dueAt))
 }
--- a/internal/leader/view.go
+++ b/internal/leader/view.go
@@ -42,6 +42,13 @@
 	TaskFailures int         `cbor:"fails"`
 	AgeSeconds   float64     `cbor:"age_s"`
 	Cancelled    bool        `cbor:"cancelled"`
+	// FailedMachines is the number of machines on which tasks of the job have failed since the
+	// last success, and RetryInSeconds is how long no task of it is started after the last failure.
+	FailedMachines int     `cbor:"failed_machines,omitempty"`
+	RetryInSeconds float64 `cbor:"retry_in_s,omitempty"`
+	// ScaleOutHold is why no machines are requested for some or all of its pending tasks; empty:
+	// for all that are wanted now.
+	ScaleOutHold string `cbor:"scale_out_hold,omitempty"`
 }
 
 // viewRequested is an event: an operator requests the view.
@@ -77,7 +84,7 @@
 		v.Machines = append(v.Machines, t.machineView(m, now))
 	}
 	for _, j := range t.state.Jobs {
-		v.Jobs = append(v.Jobs, jobView(j, now))
+		v.Jobs = append(v.Jobs, t.jobView(j, now))
 	}
 	slices.SortFunc(v.Machines, func(a, b MachineView) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(v.Jobs, func(a, b JobView) int { return cmp.Compare(a.ID, b.ID) })
@@ -98,7 +105,7 @@
 	}
 }
 
-func jobView(j *cluster.Job, now time.Time) JobView {
+func (t *term) jobView(j *cluster.Job, now time.Time) JobView {
 	return JobView{
 		ID:           j.Spec.ID,
 		Class:        j.Spec.Class,
@@ -109,5 +116,9 @@
 		TaskFailures: j.TaskFailures,
 		AgeSeconds:   now.Sub(j.AcceptedAt).Seconds(),
 		Cancelled:    j.Cancelled,
+
+		FailedMachines: len(j.FailedMachines),
+		RetryInSeconds: max(0, j.StartNotBefore.Sub(now).Seconds()),
+		ScaleOutHold:   string(t.scheduler.Holds[j.Spec.ID]),
 	}
 }
