A job that fails repeatedly gets machines for its retry, not none

What callers saw: in an idle deployment the first machine fails every task of an accepted array.

Cause: two parts of the leader disagreed on a job that fails. The scheduler retries it with two tasks at a time; the capacity estimate requested nothing from the third failed attempt on until a task of the job succeeded (eligibleForScaleOut). Without any machine there is no retry and so no success.

Change: machines are requested for exactly the tasks that a cycle may start, cluster.Job.StartableTasks, which the scheduler uses as well: two, or a gang's all. No job is excluded. The expected backlog counts these tasks only.

The limit kept a job that fails everywhere from renting machines for all of its tasks.

--- a/internal/leader/cluster/job.go
+++ b/internal/leader/cluster/job.go
@@ -106,6 +106,21 @@
 // PendingTasks returns how many tasks are neither done nor have an attempt.
 func (j *Job) PendingTasks() int { return j.Spec.Tasks - j.DoneTasks - j.ActiveTasks }
 
+// maxFailingJobTasks limits the active tasks of a job with failures since its last success.
+// If that many are active already, a cycle may still start one more.
+const maxFailingJobTasks = 2
+
+// StartableTasks returns how many of its pending tasks a scheduling cycle may start. A job
+// that fails is retried with few tasks at a time, but never with none: its success alone
+// shows that the machines were at fault. A gang starts with all its tasks.
+func (j *Job) StartableTasks() int {
+	pending := j.PendingTasks()
+	if j.TaskFailures == 0 || j.Spec.IsGang() {
+		return pending
+	}
+	return min(pending, max(1, maxFailingJobTasks-j.ActiveTasks))
+}
+
 // Attempts returns the attempts that may be on machines.
 func (j *Job) Attempts() []*Attempt {
 	var out []*Attempt
--- a/internal/leader/cluster/job_test.go
+++ b/internal/leader/cluster/job_test.go
@@ -176,3 +176,25 @@
 		})
 	}
 }
+
+func TestJobWithFailuresIsRetriedWithFewTasks(t *testing.T) {
+	for _, tc := range []struct {
+		name                    string
+		kind                    wire.JobKind
+		failures, active, tasks int
+		want                    int
+	}{
+		{"no failures", wire.KindArray, 0, 2, 9, 7},
+		{"failures, no active task", wire.KindArray, 1, 0, 9, 2},
+		{"failures, many active tasks", wire.KindArray, 100, 5, 9, 1},
+		{"failures, one pending task", wire.KindService, 100, 0, 1, 1},
+		{"failures, nothing pending", wire.KindService, 100, 9, 9, 0},
+		{"a gang starts with all its tasks", wire.KindGang, 100, 0, 9, 9},
+	} {
+		job := &Job{Spec: wire.JobSpec{Kind: tc.kind, Tasks: tc.tasks}}
+		job.TaskFailures, job.ActiveTasks = tc.failures, tc.active
+		if got := job.StartableTasks(); got != tc.want {
+			t.Errorf("%s: %d startable tasks, want %d", tc.name, got, tc.want)
+		}
+	}
+}
--- a/internal/leader/scheduling/capacity/demand_estimate.go
+++ b/internal/leader/scheduling/capacity/demand_estimate.go
@@ -89,14 +89,18 @@
 	if gang && job.ActiveTasks > 0 {
 		return 0, HeldByLastAttempt
 	}
-	units := job.PendingTasks()
+	units := plannedTasks(job)
+	var hold HoldReason
+	if units < job.PendingTasks() {
+		hold = HeldByFailures
+	}
 	if !job.Spec.IsService() && !gang {
 		units = demand.ParallelTasks(units, valuation.TimingOf(job, e.now), e.state.Settings.Objectives, e.stretchShare)
 	}
 	allowed := placement.ResourcesOf(&job.Spec).UnitsIn(limitLeft(team.MaxCPUs, team.MaxGPUs, e.teamUsage[job.Spec.Team]))
 	switch {
 	case allowed >= units:
-		return units, ""
+		return units, hold
 	case gang:
 		return 0, HeldByTeamLimit
 	}
--- a/internal/leader/scheduling/capacity/demands.go
+++ b/internal/leader/scheduling/capacity/demands.go
@@ -30,9 +30,9 @@
 // anyPrice is the price limit factor of a demand that is met whatever it costs.
 var anyPrice = math.Inf(1)
 
-// scaleOutFailureLimit is the number of failed attempts from which on no machines are requested
-// for a job: it probably fails wherever it runs.
-const scaleOutFailureLimit = 3
+// repeatedFailures is the number of failed attempts since a job's last success from which on
+// machines are requested only to retry it.
+const repeatedFailures = 3
 
 // Estimator estimates for how many tasks of each job resources are needed.
 type Estimator struct {
@@ -83,8 +83,6 @@
 		case !hasPendingTasks(job):
 		case e.state.IsQuarantined(job.Spec.ID):
 			e.Holds[job.Spec.ID] = HeldByQuarantine
-		case job.TaskFailures >= scaleOutFailureLimit:
-			e.Holds[job.Spec.ID] = HeldByFailures
 		default:
 			jobs = append(jobs, job)
 		}
@@ -93,6 +91,22 @@
 	return jobs
 }
 
+// failsRepeatedly reports whether tasks of a job have failed so often since the last success that
+// machines are requested only to retry it: for the tasks that a cycle may start.
+//
+// The job may fail wherever it runs, so it must not get machines for all its tasks. But it may also
+// have met faulty machines only, and then nothing but a success on another machine shows it. So
+// it must always be able to get one.
+func failsRepeatedly(job *cluster.Job) bool { return job.TaskFailures >= repeatedFailures }
+
+// plannedTasks returns for how many of a job's pending tasks capacity is planned.
+func plannedTasks(job *cluster.Job) int {
+	if failsRepeatedly(job) {
+		return job.StartableTasks()
+	}
+	return job.PendingTasks()
+}
+
 // usedByTeam returns the resources that each team's active tasks take.
 func (e *Estimator) usedByTeam() map[wire.TeamID]placement.Resources {
 	used := map[wire.TeamID]placement.Resources{}
--- a/internal/leader/scheduling/capacity/waits.go
+++ b/internal/leader/scheduling/capacity/waits.go
@@ -23,7 +23,7 @@
 		queue = append(queue, demand.QueuedJob{
 			ID:             job.Spec.ID,
 			Weight:         weight * (1 + now.Sub(job.AcceptedAt).Seconds()/waitDoublingSeconds),
-			WorkCPUSeconds: float64(job.PendingTasks()) * job.Spec.CPUs * max(1, job.ExpectedRunSeconds()),
+			WorkCPUSeconds: float64(plannedTasks(job)) * job.Spec.CPUs * max(1, job.ExpectedRunSeconds()),
 		})
 	}
 	waits, backlogSeconds := demand.PredictWaits(queue, e.batchCPUs())
--- a/internal/leader/scheduling/snapshot_jobs.go
+++ b/internal/leader/scheduling/snapshot_jobs.go
@@ -14,10 +14,6 @@
 // job waits forever while the cloud has no capacity.
 const maxHeadroomWait = time.Minute
 
-// maxFailingJobTasks limits the active tasks of a job with failures since its last success.
-// If that many are active already, a cycle may still start one more.
-const maxFailingJobTasks = 2
-
 // addJobs adds the waiting jobs in the order in which they were accepted.
 func (b *snapshotBuilder) addJobs(waiting []*cluster.Job) {
 	valuation.SortByAcceptance(waiting)
@@ -45,7 +41,7 @@
 	waitedSeconds := b.now.Sub(job.AcceptedAt).Seconds()
 	view := placement.Job{
 		Spec:                   &job.Spec,
-		PendingTasks:           job.PendingTasks(),
+		PendingTasks:           job.StartableTasks(),
 		TasksByZone:            map[wire.Zone]int{},
 		WaitedSeconds:          waitedSeconds,
 		AvoidMachines:          job.FailedMachines,
@@ -62,8 +58,5 @@
 			view.PendingTasks = 1
 		}
 	}
-	if job.TaskFailures > 0 && !job.Spec.IsGang() {
-		view.PendingTasks = min(view.PendingTasks, max(1, maxFailingJobTasks-job.ActiveTasks))
-	}
 	return view
 }
--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -188,6 +188,10 @@
 	ctx, cancel := context.WithCancel(sim.ctx)
 	m := &worker{sim: sim, id: id, ip: ip, addr: ip + ":9000", machineType: machineType, zone: zone, spot: spot, spec: spec, provisionedAt: time.Now(), ctx: ctx, cancel: cancel,
 		epoch: 1, tasks: map[wire.TaskID]*taskRun{}, cachedImages: map[wire.ImageID]bool{}, clockRate: 1 + (sim.rng.Float64()-0.5)*0.001, wake: make(chan struct{}, 1)}
+	if sim.provisionFaulty > 0 {
+		m.faulty = true
+		sim.provisionFaulty--
+	}
 	sim.machines[id] = m
 	sim.Net.SlowHost(ip, sim.linkDelay)
 	m.unlisted = sim.provisionUnlisted
--- a/internal/simulator/cloud_faults.go
+++ b/internal/simulator/cloud_faults.go
@@ -41,6 +41,16 @@
 	sim.mu.Unlock()
 }
 
+// LimitCapacity limits the machines that the cloud can still provide to n of each type in each
+// zone, spot and on demand each.
+func (sim *Simulation) LimitCapacity(n int) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	for key, left := range sim.capacity {
+		sim.capacity[key] = min(left, n)
+	}
+}
+
 // SellOutEverything makes the cloud refuse every further machine, however many are scaled in.
 func (sim *Simulation) SellOutEverything() {
 	sim.mu.Lock()
@@ -50,6 +60,13 @@
 	}
 }
 
+// ProvisionFaulty makes all tasks fail on the next n machines that are provisioned.
+func (sim *Simulation) ProvisionFaulty(n int) {
+	sim.mu.Lock()
+	sim.provisionFaulty = n
+	sim.mu.Unlock()
+}
+
 // SetUnlisted determines whether machines that are provisioned from now on are missing from
 // every list. This happens to a machine whose lifetime is shorter than the lag of the lists.
 func (sim *Simulation) SetUnlisted(on bool) {
--- a/internal/simulator/machines.go
+++ b/internal/simulator/machines.go
@@ -14,6 +14,11 @@
 	return len(sim.machines)
 }
 
+// FaultyMachines returns the machines on which all tasks fail.
+func (sim *Simulation) FaultyMachines() []wire.MachineID {
+	return sim.machinesWhere(func(m *worker) bool { return m.faulty })
+}
+
 // ProvisionedSoFar counts all machines that were ever provisioned.
 func (sim *Simulation) ProvisionedSoFar() int {
 	sim.mu.Lock()
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -75,6 +75,7 @@
 	lateRequests          lateRequests
 	linkDelay             time.Duration
 	provisionUnlisted     bool
+	provisionFaulty       int // how many of the next machines are faulty
 	slowSaves             bool
 	spotSoldOut           bool
 	soldOut               map[wire.Zone]bool
