Machines on which a job fails repeatedly don't count as capacity for it

Only the first machine of a job is drained for that job's failures alone; the job is then retried on the next faulty one for ever, although the cloud has machines that work. With a cloud at its limit one faulty machine more is enough. All kinds of jobs are affected.

Cause: a plan counts the free capacity of the machine on which the job has just failed, so the job "fits" and no other machine is requested. The headroom for expected gangs and for the next replicas keeps such a machine as well, so it is never returned.

Change: from the third failure since the last success on, a job's demand and the headroom for its like name the machines on which it failed (fleet.Demand.AvoidMachines); a plan packs nothing of them there. Placement already takes such machines only as a last resort. The machines of a job that go on failing are remembered after they are gone, since their number tells whether the job is at fault; at most a hundred of those that no longer exist. Uncharging the job when a machine is drained was ruled out: a job that fails everywhere would then have one machine after the other drained, with the tasks of others on them.

--- a/internal/fleet/all_or_nothing.go
+++ b/internal/fleet/all_or_nothing.go
@@ -107,7 +107,7 @@
 			break
 		}
 		b := &p.bins[i]
-		if !inZone(b.zone, zone) || !b.allowed(count.demand.Spec) {
+		if !inZone(b.zone, zone) || !b.usable(count.demand) {
 			continue
 		}
 		units := count.placeable(b.zone, unit.UnitsIn(b.freeWithin(count.demand.SlackSeconds)))
--- a/internal/fleet/bin.go
+++ b/internal/fleet/bin.go
@@ -10,6 +10,7 @@
 // bin is a machine, present or to be added, into which demands are packed. Its fields change as
 // units are assigned to it.
 type bin struct {
+	id               wire.MachineID // empty for a machine to be added
 	machineType      wire.MachineType
 	zone             wire.Zone
 	spot             bool
@@ -22,6 +23,7 @@
 // newBin returns the bin of a present machine. It counts as used unless the machine boots or is idle.
 func (m *Machine) newBin() bin {
 	return bin{
+		id:               m.ID,
 		machineType:      m.Type,
 		zone:             m.Zone,
 		spot:             m.Spot,
@@ -43,6 +45,11 @@
 	return placement.MachineAllowed(spec, &m)
 }
 
+// usable reports whether units of the demand may be packed into the bin.
+func (b *bin) usable(d *Demand) bool {
+	return !d.AvoidMachines[b.id] && b.allowed(d.Spec)
+}
+
 // freeWithin returns the resources that are free now or are expected to be within the given time.
 func (b *bin) freeWithin(seconds float64) placement.Resources {
 	free := b.free
@@ -59,7 +66,7 @@
 func (b *bin) fill(d *Demand, maxUnits int) int {
 	unit := placement.ResourcesOf(d.Spec)
 	units := d.zoneUnits(b.zone, min(maxUnits, unit.UnitsIn(b.free)))
-	if units <= 0 || !b.allowed(d.Spec) {
+	if units <= 0 || !b.usable(d) {
 		return 0
 	}
 	b.reserve(unit, units)
@@ -79,7 +86,7 @@
 // releasesInTime reports whether the demand's job may run here and a task is expected to release
 // its resources within the demand's slack.
 func (b *bin) releasesInTime(d *Demand) bool {
-	return len(b.expectedReleases) > 0 && b.expectedReleases[0].InSeconds <= d.SlackSeconds && b.allowed(d.Spec)
+	return len(b.expectedReleases) > 0 && b.expectedReleases[0].InSeconds <= d.SlackSeconds && b.usable(d)
 }
 
 // fillExpectedReleases assigns resources that running tasks are expected to release within the
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,8 @@
 	// PriceLimitFactor multiplies Snapshot.MaxPriceRatio for this demand. Values below 1, including
 	// the zero value, leave the limit unchanged.
 	PriceLimitFactor float64
+	// AvoidMachines are the machines on which the job has failed. Their resources do not count.
+	AvoidMachines map[wire.MachineID]bool
 	// Reserve means that the resources are kept free for expected jobs like Spec's. A plan does
 	// not report such a demand as unmet.
 	Reserve bool
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -93,6 +94,38 @@
 	}
 }
 
+// Free and soon released resources of machines on which a job has failed do not count for it: else
+// no other machine would ever be added for it.
+func TestMachinesOnWhichAJobFailedDoNotCountForIt(t *testing.T) {
+	idle := Machine{ID: "n-1", Type: "c4", Zone: "a", Total: machineTypes["c4"], Free: machineTypes["c4"], Idle: true}
+	busy := Machine{ID: "n-1", Type: "c4", Zone: "a", Total: machineTypes["c4"], LargestBatchTask: machineTypes["c4"],
+		ExpectedReleases: []ExpectedRelease{{InSeconds: 5, Resources: machineTypes["c4"]}}}
+	offer := Offer{Type: "c4", Zone: "a", Total: machineTypes["c4"], PricePerHour: 0.3, FetchGBPerSecond: 1, MaxCount: 9}
+	for name, machine := range map[string]Machine{"idle": idle, "busy": busy} {
+		for kind, allOrNothing := range map[wire.JobKind]bool{wire.KindArray: false, wire.KindGang: true} {
+			for avoided, wantAdded := range map[wire.MachineID]int{"n-1": 1, "n-2": 0} {
+				t.Run(fmt.Sprintf("%s of %s machine, failed on %s", kind, name, avoided), func(t *testing.T) {
+					plan := MakePlan(&Snapshot{
+						Machines: []Machine{machine},
+						Offers:   []Offer{offer},
+						Demands: []Demand{{
+							Spec:          &wire.JobSpec{Kind: kind, Tasks: 2, CPUs: 2, MemoryGB: 4},
+							Units:         2,
+							SlackSeconds:  10,
+							AllOrNothing:  allOrNothing,
+							AvoidMachines: map[wire.MachineID]bool{avoided: true},
+						}},
+						MaxMachinesAdded: 9,
+					})
+					if got := machinesAdded(plan); got != wantAdded {
+						t.Errorf("%d machines added, want %d", got, wantAdded)
+					}
+				})
+			}
+		}
+	}
+}
+
 func machinesAdded(plan Plan) int {
 	total := 0
 	for _, r := range plan.ScaleOuts {
--- a/internal/fleet/packer.go
+++ b/internal/fleet/packer.go
@@ -137,7 +137,7 @@
 	unit := placement.ResourcesOf(d.Spec)
 	p.candidateBuffer = p.candidateBuffer[:0]
 	for i := range p.bins {
-		if unit.FitsIn(p.bins[i].free) && p.bins[i].allowed(d.Spec) {
+		if unit.FitsIn(p.bins[i].free) && p.bins[i].usable(d) {
 			p.candidateBuffer = append(p.candidateBuffer, i)
 		}
 	}
--- a/internal/leader/cluster/job.go
+++ b/internal/leader/cluster/job.go
@@ -64,7 +64,9 @@
 // machine refuses a start, or when an attempt is withdrawn because the chunk's record is too
 // large.
 type JobFailures struct {
-	// FailedMachines are those on which a task of the job failed since the last success.
+	// FailedMachines are those on which a task of the job failed since the last success. They stay
+	// here when they are drained as faulty: on how many machines a job fails tells whether it is at
+	// fault itself.
 	FailedMachines   map[wire.MachineID]bool
 	TaskFailures     int  // since the last success
 	AnyTaskSucceeded bool // a task of it has completed in this term
--- a/internal/leader/reconcile/failures.go
+++ b/internal/leader/reconcile/failures.go
@@ -31,6 +31,9 @@
 	// faultyJobMachines is on how many machines a job must have failed, with no success in
 	// between, for the job to be at fault.
 	faultyJobMachines = 3
+	// maxFailedMachines is how many machines on which a job failed are remembered, unless more
+	// of them still exist.
+	maxFailedMachines = 100
 )
 
 // faultDetector distinguishes faulty and slow machines from faulty and slow jobs.
@@ -60,6 +63,20 @@
 	if len(job.FailedMachines) >= faultyJobMachines {
 		fd.clearFailuresOf(job)
 	}
+	fd.forgetRemovedMachines(job)
+}
+
+// forgetRemovedMachines bounds the memory that a job takes that fails on one machine after the
+// other: of the machines on which it failed, it forgets some that no longer exist.
+func (fd *faultDetector) forgetRemovedMachines(job *cluster.Job) {
+	for id := range job.FailedMachines {
+		if len(job.FailedMachines) <= maxFailedMachines {
+			return
+		}
+		if fd.state.Machines[id] == nil {
+			delete(job.FailedMachines, id)
+		}
+	}
 }
 
 // machineAtFault reports whether the machine on which a task of the job has just failed counts
--- a/internal/leader/reconcile/failures_test.go
+++ b/internal/leader/reconcile/failures_test.go
@@ -151,3 +151,18 @@
 		})
 	}
 }
+
+func TestJobForgetsMachinesThatNoLongerExist(t *testing.T) {
+	f := newFixture(t)
+	for i := range 3 * maxFailedMachines {
+		machine := f.addMachine(wire.MachineID(fmt.Sprintf("n-%03d", i)))
+		f.failOn(f.job, machine, time.Now())
+		delete(f.state.Machines, machine.ID)
+	}
+	existing := f.addMachine("n-existing")
+	f.failOn(f.job, existing, time.Now())
+	f.failOn(f.job, f.addMachine("n-last"), time.Now())
+	if n := len(f.job.FailedMachines); n != maxFailedMachines || !f.job.FailedMachines[existing.ID] {
+		t.Errorf("%d machines remembered, the existing one %v; want %d with it", n, f.job.FailedMachines[existing.ID], maxFailedMachines)
+	}
+}
--- a/internal/leader/scheduling/capacity/demand_estimate.go
+++ b/internal/leader/scheduling/capacity/demand_estimate.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"maps"
 	"time"
 
 	"lilaclead/internal/fleet"
@@ -60,11 +61,12 @@
 // jobDemand returns the demand for a number of a job's tasks, ranked by its priority alone.
 func (e *demandEstimate) jobDemand(job *cluster.Job, units int) fleet.Demand {
 	return fleet.Demand{
-		Spec:         &job.Spec,
-		Units:        units,
-		AllOrNothing: job.Spec.IsGang(),
-		Rank:         float64(job.Spec.Priority.Rank()),
-		SlackSeconds: e.valuer.SlackSeconds(job, e.now) * e.stretchShare,
+		Spec:          &job.Spec,
+		Units:         units,
+		AllOrNothing:  job.Spec.IsGang(),
+		Rank:          float64(job.Spec.Priority.Rank()),
+		SlackSeconds:  e.valuer.SlackSeconds(job, e.now) * e.stretchShare,
+		AvoidMachines: machinesToAvoid(job),
 	}
 }
 
@@ -133,5 +135,17 @@
 		zoneCapacityLeft[zone] = (spare.Count + 1) / 2
 	}
 	spec := &wire.JobSpec{Kind: wire.KindService, Priority: wire.PriorityProd, Tasks: spare.Count, CPUs: spare.ReplicaResources.CPUs, MemoryGB: spare.ReplicaResources.MemoryGB}
-	e.demands = append(e.demands, fleet.Demand{Spec: spec, Units: spare.Count, Rank: spareReplicaRank, ZoneCapacityLeft: zoneCapacityLeft, Reserve: true})
+	e.demands = append(e.demands, fleet.Demand{Spec: spec, Units: spare.Count, Rank: spareReplicaRank, ZoneCapacityLeft: zoneCapacityLeft, Reserve: true,
+		AvoidMachines: e.machinesAvoidedByServices()})
+}
+
+// machinesAvoidedByServices returns the machines whose resources do not count for some service.
+func (e *demandEstimate) machinesAvoidedByServices() map[wire.MachineID]bool {
+	avoided := map[wire.MachineID]bool{}
+	for _, job := range e.state.Jobs {
+		if job.Spec.IsService() {
+			maps.Copy(avoided, machinesToAvoid(job))
+		}
+	}
+	return avoided
 }
--- a/internal/leader/scheduling/capacity/demands.go
+++ b/internal/leader/scheduling/capacity/demands.go
@@ -92,13 +92,23 @@
 }
 
 // failsRepeatedly reports whether tasks of a job have failed so often since the last success that
-// machines are requested only to retry it: for the tasks that a cycle may start.
+// machines are requested only to retry it: for the tasks that a cycle may start, and beside
+// machines on which it has not failed yet.
 //
 // The job may fail wherever it runs, so it must not get machines for all its tasks. But it may also
 // have met faulty machines only, and then nothing but a success on another machine shows it. So
 // it must always be able to get one.
 func failsRepeatedly(job *cluster.Job) bool { return job.TaskFailures >= repeatedFailures }
 
+// machinesToAvoid returns the machines whose resources do not count for a job. They are of no use
+// to it, and would be kept for it although it needs others.
+func machinesToAvoid(job *cluster.Job) map[wire.MachineID]bool {
+	if failsRepeatedly(job) {
+		return job.FailedMachines
+	}
+	return nil
+}
+
 // plannedTasks returns for how many of a job's pending tasks capacity is planned.
 func plannedTasks(job *cluster.Job) int {
 	if failsRepeatedly(job) {
@@ -123,6 +133,9 @@
 	var reserves []fleet.Demand
 	for _, spec := range gangs {
 		reserve := fleet.Demand{Spec: spec, Units: spec.Tasks, Rank: gangReserveRank, AllOrNothing: true, Reserve: true}
+		if job := e.state.Jobs[spec.ID]; job != nil {
+			reserve.AvoidMachines = machinesToAvoid(job)
+		}
 		if spec.Spread {
 			reserve.ZoneCapacityLeft = map[wire.Zone]int{}
 			for _, zone := range e.state.Zones() {
--- a/internal/leader/scheduling/capacity/demands_test.go
+++ b/internal/leader/scheduling/capacity/demands_test.go
@@ -119,8 +119,8 @@
 }
 
 // A job that fails repeatedly must not get machines for all of its tasks, but it must always be able
-// to get one: it may have met faulty machines only.
-func TestDemandOfJobThatFailsRepeatedlyIsForItsRetry(t *testing.T) {
+// to get one on which it has not failed yet: it may have met faulty machines only.
+func TestDemandOfJobThatFailsRepeatedlyIsForItsRetryOnOtherMachines(t *testing.T) {
 	for _, c := range []struct {
 		name             string
 		spec             wire.JobSpec
@@ -141,12 +141,13 @@
 			c.spec.Deadline = 61
 			job := s.AddJob(c.spec)
 			job.TaskFailures, job.ActiveTasks = c.failures, c.active
+			job.FailedMachines = map[wire.MachineID]bool{"n-1": true}
 			demands := s.demandsOf("req-1")
 			if len(demands) != 1 {
 				t.Fatalf("demands %+v, want one", demands)
 			}
-			if d := demands[0]; d.Units != c.units {
-				t.Errorf("%d units, want %d", d.Units, c.units)
+			if d := demands[0]; d.Units != c.units || d.AvoidMachines["n-1"] != (c.failures >= repeatedFailures) {
+				t.Errorf("%d units, avoiding %v; want %d units, avoiding n-1 %v", d.Units, d.AvoidMachines, c.units, c.failures >= repeatedFailures)
 			}
 			if hold := s.Holds["req-1"]; hold != c.hold {
 				t.Errorf("held for reason %q, want %q", hold, c.hold)
@@ -208,6 +209,35 @@
 	}
 }
 
+// Machines on which a job fails are not kept as headroom for its like either: they would never be
+// returned, and where the cloud has no others the job would never run.
+func TestReservesAvoidMachinesOnWhichJobsFailRepeatedly(t *testing.T) {
+	for _, spec := range []wire.JobSpec{schedulingtest.Gang("req-1", 2), schedulingtest.Service("req-1", 2)} {
+		for _, failures := range []int{repeatedFailures - 1, repeatedFailures} {
+			s := newTestPlanner(t)
+			job := s.AddJob(spec)
+			job.TaskFailures, job.FailedMachines = failures, map[wire.MachineID]bool{"n-1": true}
+			demands := s.Demands(schedulingtest.Now, testStretchShare, 1)
+			if spec.IsGang() {
+				demands = append(demands, s.ReservesFor([]*wire.JobSpec{&job.Spec})...)
+			}
+			reserves := 0
+			for _, d := range demands {
+				if !d.Reserve {
+					continue
+				}
+				reserves++
+				if d.AvoidMachines["n-1"] != (failures >= repeatedFailures) {
+					t.Errorf("%s with %d failures: reserve avoids %v", spec.Kind, failures, d.AvoidMachines)
+				}
+			}
+			if reserves != 1 {
+				t.Errorf("%s: %d reserves, want one", spec.Kind, reserves)
+			}
+		}
+	}
+}
+
 func TestPriceLimitFactorRisesForAJobThatWouldBeLate(t *testing.T) {
 	s := newTestPlanner(t)
 	spec := schedulingtest.Array("req-1", 1)
--- a/internal/scenarios/faulty_machines_test.go
+++ b/internal/scenarios/faulty_machines_test.go
@@ -43,7 +43,7 @@
 func TestJobRunsAfterFirstMachinesFailEveryTask(t *testing.T) {
 	t.Parallel()
 	for kind, job := range jobKinds() {
-		for faultyMachines := 1; faultyMachines <= 1; faultyMachines++ {
+		for faultyMachines := 1; faultyMachines <= 4; faultyMachines++ {
 			t.Run(fmt.Sprintf("%s, %d faulty machines", kind, faultyMachines), func(t *testing.T) {
 				t.Parallel()
 				runScenario(t, 530, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
@@ -57,6 +57,54 @@
 	}
 }
 
+// The cloud can provide one machine at a time, and the first ones fail every task. Each must be
+// returned for the job to get the next one.
+func TestJobRunsAfterFaultyMachinesWhileCloudHasOneMachine(t *testing.T) {
+	t.Parallel()
+	for kind, job := range jobKinds() {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, 532, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
+				const faultyMachines = 3
+				sim.LimitCapacity(1)
+				sim.ProvisionFaulty(faultyMachines)
+				job.Spec.MachineTypes, job.Spec.Zone, job.Spec.SpotAllowed, job.Spec.Spread = []wire.MachineType{"c4"}, "a", false, false
+				sleepUntil(2 * time.Second)
+				sim.Submit(job, 0)
+				mustRunWithin(t, sim, job, (1+faultyMachines)*maxRecoveryTime)
+			})
+		})
+	}
+}
+
+// An array is partly done when its machines are reclaimed, and the next machines fail every task.
+// A leader that has seen tasks of the job succeed must not give it up either.
+func TestPartlyDoneArrayRunsAfterFaultyMachines(t *testing.T) {
+	t.Parallel()
+	for _, newLeader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader changes %v", newLeader), func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, 533, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
+				const faultyMachines = 3
+				job := array(1, 12, 20)
+				job.RunTimes = []float64{5, 5}
+				sleepUntil(2 * time.Second)
+				sim.Submit(job, 0)
+				eventually(t, maxRecoveryTime, "two tasks are done", func() (done bool) {
+					sim.WithChecker(func(c *simulator.Checker) { done = c.Completed(job.Spec.ID) >= 2 })
+					return done
+				})
+				sim.ProvisionFaulty(faultyMachines)
+				sim.RemoveMachines(sim.RunningMachines()...)
+				if newLeader {
+					replaceLeader(t, sim)
+				}
+				mustRunWithin(t, sim, job, (1+faultyMachines)*maxRecoveryTime)
+			})
+		})
+	}
+}
+
 // A job that fails on every machine gets a machine for a retry about once a minute, but never
 // machines for all of its tasks. What others run goes on, on machines that do not count as faulty.
 func TestJobThatFailsEverywhereGetsFewMachines(t *testing.T) {
