A replica that has run for 30 s clears the failures of its service

What callers would see: a service that has met two faulty machines, however long ago, restarts its replicas after 8 to 64 s and two at a time.

Cause: failures count until a task of the job completes. Replicas never do, so the failures of a service added up for the whole term, and those of machines that run only services did as well.

Change: a replica that has run for 30 s counts as a success, once for each attempt, and clears the failures of its job and its machine as the completion of a task does.

Result: TestReplicaThatRunsClearsFailuresOfServiceAndMachine fails without the change ("failures of the job cleared false, of the machine false; want both true") and passes with it.

--- a/internal/leader/reconcile/exits_test.go
+++ b/internal/leader/reconcile/exits_test.go
@@ -68,6 +68,41 @@
 	}
 }
 
+// Replicas of a service never complete. Without another success to clear them, the failures of
+// all machines that a service ever met would add up, and delay its replicas ever more.
+func TestReplicaThatRunsClearsFailuresOfServiceAndMachine(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		kind      wire.JobKind
+		ranFor    time.Duration
+		wantClear bool
+	}{
+		{"a replica that has just started", wire.KindService, replicaSuccessTime - 2*time.Second, false},
+		{"a replica that has run", wire.KindService, replicaSuccessTime, true},
+		{"a task of an array that has run", wire.KindArray, time.Hour, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			now := time.Now()
+			f.job.Spec.Kind = tc.kind
+			f.attempt.SeenInHeartbeat, f.attempt.RunningSince = true, now.Add(-tc.ranFor)
+			f.failOn(f.job, f.addMachine("n-2"), now)
+			f.failOn(f.job, f.machine, now)
+			f.Reconcile(f.machine, heartbeat(1, 11, testToken, attemptStatus(wire.PhaseRunning, "")), true, now)
+			jobCleared := f.job.TaskFailures == 0 && len(f.job.FailedMachines) == 0 && f.job.AnyTaskSucceeded
+			machineCleared := f.machine.TaskFailures == 0 && len(f.machine.FailedJobs) == 0
+			if jobCleared != tc.wantClear || machineCleared != tc.wantClear {
+				t.Fatalf("failures of the job cleared %v, of the machine %v; want both %v", jobCleared, machineCleared, tc.wantClear)
+			}
+			f.failOn(f.job, f.addMachine("n-3"), now)
+			f.Reconcile(f.machine, heartbeat(1, 12, testToken, attemptStatus(wire.PhaseRunning, "")), true, now.Add(time.Second))
+			if f.job.TaskFailures == 0 {
+				t.Error("a failure after the success of a replica is cleared by the same replica")
+			}
+		})
+	}
+}
+
 func TestGangTaskDoneCompletesGang(t *testing.T) {
 	f := newFixture(t)
 	gang := f.addJob("req-2", wire.KindGang, 2)
--- a/internal/leader/reconcile/tasks.go
+++ b/internal/leader/reconcile/tasks.go
@@ -40,6 +40,7 @@
 		rc.onTaskRunning(attempt, now)
 	}
 	attempt.Phase = status.Phase
+	recordReplicaSuccess(attempt, now)
 	rc.reconcileGang(attempt, status)
 	if status.Phase == wire.PhaseExited {
 		rc.onTaskExit(attempt, status, now)
