--- a/internal/simulator/machine_faults.go
+++ b/internal/simulator/machine_faults.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// RepairMachines makes tasks that start from now on succeed on all machines, present and future.
+func (sim *Simulation) RepairMachines() {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	sim.provisionFaulty = 0
+	for _, m := range sim.machines {
+		m.faulty = false
+	}
+}
+
 // RestartMachine restarts a machine at once: its epoch, sequence number and token start anew, and
 // its tasks and images are gone.
 func (sim *Simulation) RestartMachine(id wire.MachineID) {
--- a/internal/simulator/machines.go
+++ b/internal/simulator/machines.go
@@ -16,6 +16,8 @@
 
 // FaultyMachines returns the machines on which all tasks fail.
 func (sim *Simulation) FaultyMachines() []wire.MachineID {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
 	return sim.machinesWhere(func(m *worker) bool { return m.faulty })
 }
 
