--- a/internal/leader/scheduling/capacity/demands.go
+++ b/internal/leader/scheduling/capacity/demands.go
@@ -30,10 +30,6 @@
 // anyPrice is the price limit factor of a demand that is met whatever it costs.
 var anyPrice = math.Inf(1)
 
-// repeatedFailures is the number of failed attempts since a job's last success from which on
-// machines are requested only to retry it.
-const repeatedFailures = 3
-
 // Estimator estimates for how many tasks of each job resources are needed.
 type Estimator struct {
 	// BacklogSeconds is how many seconds the present resources would need for all waiting
@@ -91,32 +87,6 @@
 	return jobs
 }
 
-// failsRepeatedly reports whether tasks of a job have failed so often since the last success that
-// machines are requested only to retry it: for the tasks that a cycle may start, and beside
-// machines on which it has not failed yet.
-//
-// The job may fail wherever it runs, so it must not get machines for all its tasks. But it may also
-// have met faulty machines only, and then nothing but a success on another machine shows it. So
-// it must always be able to get one.
-func failsRepeatedly(job *cluster.Job) bool { return job.TaskFailures >= repeatedFailures }
-
-// machinesToAvoid returns the machines whose resources do not count for a job. They are of no use
-// to it, and would be kept for it although it needs others.
-func machinesToAvoid(job *cluster.Job) map[wire.MachineID]bool {
-	if failsRepeatedly(job) {
-		return job.FailedMachines
-	}
-	return nil
-}
-
-// plannedTasks returns for how many of a job's pending tasks capacity is planned.
-func plannedTasks(job *cluster.Job) int {
-	if failsRepeatedly(job) {
-		return job.StartableTasks()
-	}
-	return job.PendingTasks()
-}
-
 // usedByTeam returns the resources that each team's active tasks take.
 func (e *Estimator) usedByTeam() map[wire.TeamID]placement.Resources {
 	used := map[wire.TeamID]placement.Resources{}
--- a/internal/simulator/cloud_faults.go
+++ b/internal/simulator/cloud_faults.go
@@ -8,23 +8,17 @@
 
 // SetCloudOutage begins or ends an outage of the cloud's API.
 func (sim *Simulation) SetCloudOutage(on bool) {
-	sim.mu.Lock()
-	sim.cloudOutage = on
-	sim.mu.Unlock()
+	set(sim, &sim.cloudOutage, on)
 }
 
 // LoseScaleInResponses makes the next n scale-in requests take effect without a response.
 func (sim *Simulation) LoseScaleInResponses(n int) {
-	sim.mu.Lock()
-	sim.loseScaleInResponses = n
-	sim.mu.Unlock()
+	set(sim, &sim.loseScaleInResponses, n)
 }
 
 // LoseScaleOutResponses makes the next n scale-out requests take effect without a response.
 func (sim *Simulation) LoseScaleOutResponses(n int) {
-	sim.mu.Lock()
-	sim.loseScaleOutResponses = n
-	sim.mu.Unlock()
+	set(sim, &sim.loseScaleOutResponses, n)
 }
 
 // SetSoldOut makes scale-out in a zone fail for lack of capacity, or succeed again.
@@ -36,9 +30,7 @@
 
 // SetSpotSoldOut makes scale-out of spot machines fail for lack of capacity, or succeed again.
 func (sim *Simulation) SetSpotSoldOut(on bool) {
-	sim.mu.Lock()
-	sim.spotSoldOut = on
-	sim.mu.Unlock()
+	set(sim, &sim.spotSoldOut, on)
 }
 
 // LimitCapacity limits the machines that the cloud can still provide to n of each type in each
@@ -62,24 +54,18 @@
 
 // ProvisionFaulty makes all tasks fail on the next n machines that are provisioned.
 func (sim *Simulation) ProvisionFaulty(n int) {
-	sim.mu.Lock()
-	sim.provisionFaulty = n
-	sim.mu.Unlock()
+	set(sim, &sim.provisionFaulty, n)
 }
 
 // SetUnlisted determines whether machines that are provisioned from now on are missing from
 // every list. This happens to a machine whose lifetime is shorter than the lag of the lists.
 func (sim *Simulation) SetUnlisted(on bool) {
-	sim.mu.Lock()
-	sim.provisionUnlisted = on
-	sim.mu.Unlock()
+	set(sim, &sim.provisionUnlisted, on)
 }
 
 // SetBootFactor multiplies the time that machines take to boot by a factor.
 func (sim *Simulation) SetBootFactor(factor float64) {
-	sim.mu.Lock()
-	sim.bootFactor = factor
-	sim.mu.Unlock()
+	set(sim, &sim.bootFactor, factor)
 }
 
 // SetQuickBoots makes machines boot within two seconds, or in the usual time again.
--- a/internal/simulator/machine_faults.go
+++ b/internal/simulator/machine_faults.go
@@ -220,7 +220,5 @@
 // EnableSlowSaves makes stopped tasks that belong to no gang take their checkpoint time to save.
 // Without it they save at once. Tasks of gangs always take the time.
 func (sim *Simulation) EnableSlowSaves() {
-	sim.mu.Lock()
-	sim.slowSaves = true
-	sim.mu.Unlock()
+	set(sim, &sim.slowSaves, true)
 }
--- a/internal/simulator/message_faults.go
+++ b/internal/simulator/message_faults.go
@@ -19,9 +19,7 @@
 // DelayCommands sets the delays of commands and responses for all machines from now on; the zero
 // value ends them.
 func (sim *Simulation) DelayCommands(delay CommandDelay) {
-	sim.mu.Lock()
-	defer sim.mu.Unlock()
-	sim.machineFaults.commandDelay = delay
+	set(sim, &sim.machineFaults.commandDelay, delay)
 }
 
 // commandDelay returns the present delay of commands.
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -195,6 +195,13 @@
 	return server
 }
 
+// set sets a field of the simulation, under its lock.
+func set[T any](sim *Simulation, field *T, value T) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	*field = value
+}
+
 // Done returns a channel that is closed when the simulation's context ends.
 func (sim *Simulation) Done() <-chan struct{} { return sim.ctx.Done() }
 
