The leader's log tells launch, outcome and forgetting of each attempt

The agents' records tell why; the log of the leader could not have: it named neither launches with their token and epoch, nor when an outcome was stored, nor a forget command and its ground. Commands that an agent refused were counted as answered.

A new leader logs the revision that it read ('records read'), 'token raised' its reason. lilaclead_commands_total has the outcome 'refused'.

No change of behaviour.

--- a/internal/leader/agents/dispatcher.go
+++ b/internal/leader/agents/dispatcher.go
@@ -55,6 +55,7 @@
 			commands.Commands = append(commands.Commands, launchCommand(task, attempt))
 			attempt.LaunchSent, attempt.LaunchEpoch, attempt.LaunchInFlight = true, machine.Epoch, true
 			launched = append(launched, attempt)
+			dp.Attempts.Launched(task, attempt.Number, machine.ID, machine.Epoch, core.LaunchedDirectly)
 		}
 	}
 	if len(commands.Commands) > 0 {
--- a/internal/leader/agents/heartbeat_answers.go
+++ b/internal/leader/agents/heartbeat_answers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lilaclead/internal/leader/cluster"
+	"lilaclead/internal/leader/core"
 	"lilaclead/internal/wire"
 )
 
@@ -11,7 +12,7 @@
 // repeated until a heartbeat shows that it has arrived.
 func (dp *Dispatcher) HeartbeatResponseCommands(machine *cluster.Machine, heartbeat *wire.Heartbeat, now time.Time) []wire.Command {
 	commands := dp.AppendStops(machine, []wire.Command{}, now)
-	commands = appendLaunches(commands, machine, heartbeat)
+	commands = dp.appendLaunches(commands, machine, heartbeat)
 	return dp.appendCleanups(commands, machine, heartbeat)
 }
 
@@ -33,7 +34,7 @@
 // appendLaunches appends a launch for each of a machine's attempts that may be launched and
 // that no heartbeat has shown yet, unless a direct launch of it is in flight. It appends none
 // while the path to the machine counts as lost.
-func appendLaunches(commands []wire.Command, machine *cluster.Machine, heartbeat *wire.Heartbeat) []wire.Command {
+func (dp *Dispatcher) appendLaunches(commands []wire.Command, machine *cluster.Machine, heartbeat *wire.Heartbeat) []wire.Command {
 	for task, attempt := range machine.Attempts {
 		if len(commands) >= MaxCommands {
 			break
@@ -42,6 +43,7 @@
 			commands = append(commands, launchCommand(task, attempt))
 			attempt.LaunchSent, attempt.LaunchEpoch = true, heartbeat.Epoch
 			attempt.ResponseEpoch, attempt.ResponseSequence = heartbeat.Epoch, heartbeat.Sequence
+			dp.Attempts.Launched(task, attempt.Number, machine.ID, heartbeat.Epoch, core.LaunchedByHeartbeatResponse)
 		}
 	}
 	return commands
@@ -69,6 +71,7 @@
 			commands = append(commands, wire.Command{Verb: wire.VerbStop, Task: status.Task, Attempt: status.Attempt, GracePeriod: &noGracePeriod})
 		case dp.mayForget(machine, task, heartbeat):
 			commands = append(commands, wire.Command{Verb: wire.VerbForget, Task: status.Task, Attempt: status.Attempt})
+			dp.Attempts.ForgetOrdered(status.Task, status.Attempt, machine.ID, dp.forgetGround(task))
 		}
 	}
 	return commands
@@ -90,6 +93,14 @@
 	return outcomeStored(dp.State.Jobs[task.Job], task)
 }
 
+// forgetGround says for the log why the outcome of a task's attempt counts as stored.
+func (dp *Dispatcher) forgetGround(task wire.TaskID) string {
+	if dp.State.Jobs[task.Job] == nil {
+		return "job archived"
+	}
+	return "outcome stored"
+}
+
 // outcomeStored reports whether the outcomes of a task's attempts are stored. A nil job is
 // one that this leader does not have because it is archived.
 func outcomeStored(job *cluster.Job, task wire.TaskID) bool {
--- a/internal/leader/cluster/attempt.go
+++ b/internal/leader/cluster/attempt.go
@@ -25,13 +25,14 @@
 	// launch again.
 	Inherited bool
 
-	// The next five fields are what heartbeats of this term have shown of the attempt.
+	// The next six fields are what heartbeats of this term have shown of the attempt.
 	// Reconciliation writes them.
 	SeenInHeartbeat bool           // a heartbeat has listed it
 	Phase           wire.TaskPhase // in the last heartbeat that listed it
 	RunningSince    time.Time      // when it was first seen running
 	ImageReadyAt    time.Time      // when it was first seen past the fetch of its image
 	Succeeded       bool           // it is a replica that has run for long enough to count as a success
+	ExitCause       wire.ExitCause // once a heartbeat has shown its exit
 
 	// LaunchSent: this term has sent a launch. LaunchEpoch is the epoch of the agent that
 	// the last one was sent to.
@@ -71,6 +72,9 @@
 		return
 	}
 	a.Detach()
+	if !a.Unstored {
+		c.QueueOutcome(a)
+	}
 	a.MarkStored()
 	c.TaskStates[a.Index] = state
 	s.UnsavedChanges.MarkDirty(c)
--- a/internal/leader/cluster/chunk.go
+++ b/internal/leader/cluster/chunk.go
@@ -36,6 +36,7 @@
 	// UnstoredAttempts is how many of the attempts are not stored yet.
 	UnstoredAttempts int
 	ChunkRecordState
+	OutcomeQueue
 }
 
 // ChunkRecordState is the state of a chunk with regard to its record in the key-value store.
--- a/internal/leader/core/loop.go
+++ b/internal/leader/core/loop.go
@@ -24,6 +24,7 @@
 	Fencing   Fencing
 	Published Published
 	Log       *slog.Logger
+	Attempts  *AttemptLog
 	Metrics   *Metrics
 
 	// Events are the results of I/O and the requests that the loop handles.
@@ -49,12 +50,13 @@
 // NewLoop returns the loop of a term with the given lease, which this node holds.
 func NewLoop(lease *election.Lease, log *slog.Logger, metrics *Metrics) *Loop {
 	return &Loop{
-		Lease:   lease,
-		Fencing: Fencing{Token: lease.Token()},
-		Log:     log,
-		Metrics: metrics,
-		Events:  make(chan Event, eventBacklog),
-		Done:    make(chan struct{}),
+		Lease:    lease,
+		Fencing:  Fencing{Token: lease.Token()},
+		Log:      log,
+		Attempts: &AttemptLog{log: log},
+		Metrics:  metrics,
+		Events:   make(chan Event, eventBacklog),
+		Done:     make(chan struct{}),
 	}
 }
 
--- a/internal/leader/progress/committer.go
+++ b/internal/leader/progress/committer.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if co.Fencing.RaiseRequested && now.After(co.Fencing.RaiseNotBefore) {
-		co.raiseToken(nil)
+		co.raiseToken(raiseForCommand, nil)
 		return
 	}
 	b := co.Writer.nextBatch(co.Fencing.Token, now)
@@ -69,12 +69,39 @@
 // onCommitted applies a transaction that was committed at a revision.
 func (co *Committer) onCommitted(b *batch, revision wire.Revision) {
 	co.Writer.onCommitted(b, revision)
+	co.logStoredOutcomes(b)
 	for _, j := range b.archived {
 		co.removeArchivedJob(j)
 	}
 	co.sendStoredLaunches(b.launches)
 }
 
+// logStoredOutcomes logs the outcomes of attempts that a committed transaction holds. The final
+// record of a job stands for the outcomes of all its attempts.
+func (co *Committer) logStoredOutcomes(b *batch) {
+	for _, c := range b.chunks {
+		co.logOutcomesOf(c)
+	}
+	for _, j := range b.archived {
+		for _, c := range j.Chunks {
+			if c != nil {
+				c.SendOutcomes()
+				co.logOutcomesOf(c)
+			}
+		}
+	}
+}
+
+func (co *Committer) logOutcomesOf(c *cluster.Chunk) {
+	for _, outcome := range c.TakeStoredOutcomes() {
+		cause := string(outcome.Cause)
+		if cause == "" {
+			cause = "lost or not started"
+		}
+		co.Attempts.OutcomeStored(outcome.Task, outcome.Attempt, outcome.Machine, cause)
+	}
+}
+
 // removeArchivedJob removes a job from the model. It remembers the job's ID, so that late
 // events about the job are ignored. The last of them is the deletion of the job's record; if
 // that has already arrived, the ID is not needed.
@@ -116,7 +143,7 @@
 func (co *Committer) onOutcomeUnknown(b *batch) {
 	co.Log.Info("write outcome unknown", "writes", len(b.txn.Writes))
 	co.Writer.awaitOutcome()
-	co.raiseToken(b)
+	co.raiseToken(raiseForWrite, b)
 }
 
 // onRejected handles a transaction that the store rejected as invalid. If a single record is
--- a/internal/leader/progress/events.go
+++ b/internal/leader/progress/events.go
@@ -15,7 +15,8 @@
 
 // TokenRaised is an event: the term has acquired a higher fencing token.
 type TokenRaised struct {
-	token wire.FencingToken
+	token  wire.FencingToken
+	reason raiseReason
 	// unresolved is the transaction whose outcome is unknown and must be read now, nil if
 	// there is none.
 	unresolved *batch
--- a/internal/leader/progress/selection.go
+++ b/internal/leader/progress/selection.go
@@ -27,6 +27,7 @@
 	}
 	for _, c := range b.chunks {
 		c.Dirty, c.WriteInFlight = false, true
+		c.SendOutcomes()
 		delete(w.state.UnsavedChanges.Chunks, c)
 	}
 	w.txn, w.txnSentAt = txnInFlight, now
--- a/internal/leader/progress/token.go
+++ b/internal/leader/progress/token.go
@@ -12,11 +12,19 @@
 // outcomeRetryPause is the pause before a failed read of a transaction's outcome is retried.
 const outcomeRetryPause = 200 * time.Millisecond
 
+// raiseReason says for the log why the token is raised.
+type raiseReason string
+
+const (
+	raiseForWrite   raiseReason = "write outcome unknown"
+	raiseForCommand raiseReason = "a launch may still arrive"
+)
+
 // raiseToken acquires a higher fencing token for this term by a compare-and-swap. Then
 // nothing that was sent under the old token can take effect: transactions fail at their
 // guard on the leader's key, and every agent that has seen the new token rejects commands
 // with the old one. If there is an unresolved transaction, its outcome is read after that.
-func (co *Committer) raiseToken(unresolved *batch) {
+func (co *Committer) raiseToken(reason raiseReason, unresolved *batch) {
 	co.Fencing.Raising = true
 	co.Fencing.RaiseRequested = false
 	co.Fencing.RaiseNotBefore = time.Now().Add(co.State.Settings.Workers.Lease.Duration() / 2)
@@ -25,7 +33,7 @@
 		token, err := co.Lease.RaiseToken(ctx, old)
 		switch {
 		case err == nil:
-			co.Post(TokenRaised{token, unresolved})
+			co.Post(TokenRaised{token, reason, unresolved})
 		case ctx.Err() == nil:
 			co.End(err.Error())
 		}
@@ -35,7 +43,8 @@
 // OnTokenRaised makes the term act under the higher token and starts the read of the outcome
 // of an unresolved transaction.
 func (co *Committer) OnTokenRaised(e TokenRaised) {
-	co.Log.Info("token raised", "token", e.token, "previous", co.Fencing.Token)
+	co.Attempts.Flush(co.Fencing.Token)
+	co.Log.Info("token raised", "token", e.token, "previous", co.Fencing.Token, "reason", e.reason)
 	co.Fencing.Token = e.token
 	if co.State.RecordsRead {
 		co.Published.DelegationToken.Store(uint64(e.token))
--- a/internal/leader/progress/writer.go
+++ b/internal/leader/progress/writer.go
@@ -120,6 +120,7 @@
 	w.Orphans = append(w.Orphans, b.orphans...)
 	for _, c := range b.chunks {
 		c.WriteInFlight = false
+		c.RevertOutcomes()
 		w.state.UnsavedChanges.MarkDirty(c)
 	}
 	for _, j := range b.archived {
--- a/internal/leader/reconcile/command_answers.go
+++ b/internal/leader/reconcile/command_answers.go
@@ -15,6 +15,9 @@
 
 const (
 	commandAnswered outcomeKind = "ok"
+	// commandRefused is the outcome of a command that the agent answered and did not execute,
+	// because it has seen a higher token or is in another epoch.
+	commandRefused outcomeKind = "refused"
 	// commandNotSent is the outcome of a command that certainly has not left this node.
 	commandNotSent outcomeKind = "not sent"
 	// commandOutcomeUnknown is the outcome of a command that was sent and got no usable
@@ -29,14 +32,15 @@
 		}
 		return commandOutcomeUnknown
 	}
-	// An agent rejects a command of another epoch, or with an old token, by the status
-	// "conflict". That response holds its heartbeat too.
 	hasHeartbeat := outcome.Status == http.StatusOK || outcome.Status == http.StatusConflict
 	// Another machine may answer at the address of one that was removed.
-	if hasHeartbeat && outcome.Heartbeat.Machine == outcome.Machine.ID {
-		return commandAnswered
+	switch {
+	case !hasHeartbeat || outcome.Heartbeat.Machine != outcome.Machine.ID:
+		return commandOutcomeUnknown
+	case outcome.Status == http.StatusConflict:
+		return commandRefused
 	}
-	return commandOutcomeUnknown
+	return commandAnswered
 }
 
 // OnCommandOutcome handles the outcome of a direct command or of a probe.
@@ -50,7 +54,7 @@
 	kind := outcomeKindOf(&outcome)
 	rc.Metrics.Command(string(kind))
 	switch kind {
-	case commandAnswered:
+	case commandAnswered, commandRefused:
 		rc.onCommandAnswered(&outcome, now)
 	case commandNotSent:
 		recordUnansweredCommand(machine)
--- a/internal/leader/reconcile/tasks.go
+++ b/internal/leader/reconcile/tasks.go
@@ -43,6 +43,7 @@
 	recordReplicaSuccess(attempt, now)
 	rc.reconcileGang(attempt, status)
 	if status.Phase == wire.PhaseExited {
+		attempt.ExitCause = status.Cause
 		rc.onTaskExit(attempt, status, now)
 	}
 }
--- a/internal/leader/recovery/recovery.go
+++ b/internal/leader/recovery/recovery.go
@@ -50,6 +50,8 @@
 	for ctx.Err() == nil {
 		records, err := r.readAll(ctx)
 		if err == nil {
+			r.Log.Info("records read", "token", r.Lease.Token(), "revision", records.jobsRevision,
+				"jobs", len(records.Jobs), "progress_records", len(records.Progress), "duration", time.Since(records.StartedAt))
 			r.Post(records)
 			r.watchJobRecords(ctx, records.jobsRevision)
 			return
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -160,6 +160,7 @@
 // onTick runs the periodic checks that are due.
 func (t *term) onTick(now time.Time) {
 	t.ticks++
+	t.Attempts.Flush(t.Fencing.Token)
 	t.checkLeadership(now)
 	t.dispatcher.AnnounceToken()
 	if t.ticks%ticksPerMachineCheck == 0 {
