--- a/internal/simulator/checker.go
+++ b/internal/simulator/checker.go
@@ -31,6 +31,8 @@
 	// LeftWaiting: while there was no fault, a job started no task although a suitable
 	// machine had enough free capacity all that time and the job's team was below its limit.
 	LeftWaiting Rule = "left_waiting"
+	// AttemptRepeated: an attempt that had ended began again, by a late copy of its launch.
+	AttemptRepeated Rule = "attempt_repeated"
 	// HalfRun: a gang ran without some of its tasks.
 	HalfRun Rule = "half_run"
 )
--- a/internal/simulator/checker_tasks.go
+++ b/internal/simulator/checker_tasks.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// AttemptRepeated records that a late copy of its launch starts an attempt that has ended on the
+// machine.
+func (c *Checker) AttemptRepeated(t wire.TaskID, attempt wire.AttemptNumber, m wire.MachineID, now time.Time) {
+	c.observeTime(now)
+	c.violated(now, AttemptRepeated, "attempt %d of %s on %s", attempt, t, m)
+}
+
 // TaskLeft records that a task is no longer on a machine; done says whether it completed.
 func (c *Checker) TaskLeft(t wire.TaskID, m wire.MachineID, done bool) {
 	if place, on := c.placeOf[t]; on && place.Machine == m {
--- a/internal/simulator/gang.go
+++ b/internal/simulator/gang.go
@@ -11,10 +11,9 @@
 // gangTable is the state of all gangs on the workers. The tasks of a gang start together or not
 // at all, as the protocol says. The simulation's lock guards it.
 type gangTable struct {
-	jobs           map[wire.JobID]*gangJob
-	launchRefusals map[wire.MachineID]int     // number of next launches that are refused as full
-	speed          map[wire.MachineID]float64 // factor; 1 if missing
-	ticking        bool                       // the goroutine that steps the gangs runs
+	jobs    map[wire.JobID]*gangJob
+	speed   map[wire.MachineID]float64 // factor; 1 if missing
+	ticking bool                       // the goroutine that steps the gangs runs
 }
 
 // gangJob is a gang with its attempts.
--- a/internal/simulator/machine_faults.go
+++ b/internal/simulator/machine_faults.go
@@ -21,6 +21,7 @@
 	hungFor            map[wire.MachineID]time.Duration    // how long each machine has hung, without a hang that still lasts
 	hungSince          map[wire.MachineID]time.Time        // when each machine last began to hang
 	commandDelay       CommandDelay
+	launchRefusals     map[wire.MachineID]launchRefusals
 	lateCommands       map[wire.Verb]int // late commands by verb: see LateCommands
 }
 
@@ -197,24 +198,37 @@
 	return 1
 }
 
+// launchRefusals are the launches that a machine is still to refuse, and the cause that it gives.
+type launchRefusals struct {
+	left  int
+	cause wire.ExitCause
+}
+
 // RefuseLaunches makes a machine refuse its next n launches as if it were full.
 func (sim *Simulation) RefuseLaunches(id wire.MachineID, n int) {
+	sim.RefuseLaunchesBecause(id, n, wire.CauseFull)
+}
+
+// RefuseLaunchesBecause makes a machine refuse its next n launches with a cause.
+func (sim *Simulation) RefuseLaunchesBecause(id wire.MachineID, n int, cause wire.ExitCause) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	if sim.gangs.launchRefusals == nil {
-		sim.gangs.launchRefusals = map[wire.MachineID]int{}
+	if sim.machineFaults.launchRefusals == nil {
+		sim.machineFaults.launchRefusals = map[wire.MachineID]launchRefusals{}
 	}
-	sim.gangs.launchRefusals[id] = n
+	sim.machineFaults.launchRefusals[id] = launchRefusals{n, cause}
 }
 
-// refusesLaunch reports whether the machine refuses this launch as full, and counts it; the caller
+// refusesLaunch reports whether the machine refuses this launch and why, and counts it; the caller
 // holds the lock.
-func (m *worker) refusesLaunch() bool {
-	if m.sim.gangs.launchRefusals[m.id] > 0 {
-		m.sim.gangs.launchRefusals[m.id]--
-		return true
-	}
-	return false
+func (m *worker) refusesLaunch() (cause wire.ExitCause, refused bool) {
+	refusals := m.sim.machineFaults.launchRefusals[m.id]
+	if refusals.left == 0 {
+		return "", false
+	}
+	refusals.left--
+	m.sim.machineFaults.launchRefusals[m.id] = refusals
+	return refusals.cause, true
 }
 
 // EnableSlowSaves makes stopped tasks that belong to no gang take their checkpoint time to save.
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -73,6 +73,7 @@
 	loseScaleInResponses  int
 	loseScaleOutResponses int
 	lateRequests          lateRequests
+	commandCopies         commandCopies
 	linkDelay             time.Duration
 	provisionUnlisted     bool
 	provisionFaulty       int // how many of the next machines are faulty
@@ -127,6 +128,7 @@
 			sim.capacity[capacityKey(spec.Name, zone, true)] = 3
 		}
 	}
+	sim.commandCopies.rng = rand.New(rand.NewPCG(seed, 11)) // its own, so that seeds without copies draw as before
 	sim.checker.MachineSpecs, sim.lastFault = sim.machineTypes, time.Now()
 	sim.serve(KVStoreAddr, sim.State)
 	sim.serve(CloudAddr, http.HandlerFunc(sim.cloud))
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -260,6 +260,15 @@
 	m.sim.mu.Unlock()
 	sleep(m.ctx, delay.Answer)
 	wire.WriteResponse(rw, status, heartbeat)
+	if status == http.StatusOK && r.URL.Path == "/commands" {
+		m.scheduleCopies(raw)
+	}
+}
+
+// accepts reports whether the token and the epoch of a direct command are valid; the caller holds
+// the lock.
+func (m *worker) accepts(request *wire.Commands) bool {
+	return request.Token >= m.token && request.Epoch == m.epoch
 }
 
 // onCommands executes a controller's commands if their token and epoch are valid, and returns
@@ -271,7 +280,7 @@
 	switch {
 	case err != nil || request.Token == 0 || request.Epoch == 0:
 		return http.StatusBadRequest
-	case request.Token < m.token || request.Epoch != m.epoch:
+	case !m.accepts(&request):
 		return http.StatusConflict
 	}
 	m.observeToken(request.Token)
--- a/internal/simulator/worker_tasks.go
+++ b/internal/simulator/worker_tasks.go
@@ -64,8 +64,9 @@
 		return
 	case previous != nil && previous.phase != wire.PhaseExited:
 		return // the attempt that runs stays listed
-	case m.refusesLaunch():
-		refuse(wire.CauseFull)
+	}
+	if cause, refused := m.refusesLaunch(); refused {
+		refuse(cause)
 		return
 	}
 	free := m.capacity()
