A direct launch is accounted for until the agent refuses its copies, not until its answer

A task failed on one machine and ran on another when the network delivered the first, long answered launch once more: the first machine had been told to forget the attempt, its token and epoch still matched, so it ran the attempt again. The same held for attempts that completed, were preempted, moved, refused or cancelled.

Cause, as a class: a right that had lapsed was judged by the wrong event. The leader took the answer to a direct launch for the end of the launch. What ends it is only that the agent refuses it, by a higher token or a newer epoch.

Change, on the three paths that relied on the answer: - an agent is told to forget an attempt only under a token above that of its direct launch. The exit stays listed until then, so that a copy has no effect. The token is raised a minute after the first such exit, at once when a heartbeat holds 150 of them, and serves all machines; the forget command itself carries it; - another attempt of the same task is launched on that machine only under a higher token (raise at once, launched right after); - an attempt that a heartbeat lacks is ended only once the machine has shown a higher token. A machine that restarted gets no renewal, so that its lease ends while the cloud can't be reached.

Checks that changed since the tests were committed, all of them setups: no machine is returned before the copies arrive (cloud outage), more copies, copies of probes don't count. The log test waits for the raise.

--- a/internal/leader/agents/dispatcher.go
+++ b/internal/leader/agents/dispatcher.go
@@ -20,6 +20,8 @@
 	// machine to probe. It is cleared when a list shows a running machine that has not seen
 	// the token.
 	TokenAnnounced bool
+	// waitingForToken are the machines to which launches may be sent only under a higher token.
+	waitingForToken map[*cluster.Machine]struct{}
 }
 
 const (
@@ -51,9 +53,10 @@
 		case directStopDue(attempt, now):
 			commands.Commands = append(commands.Commands, stopCommand(task, attempt))
 			attempt.StopSentAt = now
-		case mayLaunch && awaitsLaunch(attempt) && !attempt.LaunchSent:
+		case mayLaunch && awaitsLaunch(attempt) && !attempt.LaunchSent && dp.tokenAllowsLaunch(task, attempt):
 			commands.Commands = append(commands.Commands, launchCommand(task, attempt))
 			attempt.LaunchSent, attempt.LaunchEpoch, attempt.LaunchInFlight = true, machine.Epoch, true
+			machine.RecordDirectLaunch(task, cluster.DirectLaunch{Attempt: attempt.Number, Token: commands.Token, Epoch: commands.Epoch})
 			launched = append(launched, attempt)
 			dp.Attempts.Launched(task, attempt.Number, machine.ID, machine.Epoch, core.LaunchedDirectly)
 		}
@@ -84,6 +87,32 @@
 	return !attempt.Unstored && notStarted && stillWanted && attempt.MayLaunch()
 }
 
+// tokenAllowsLaunch reports whether an attempt may be launched under the present token. It may not
+// while the agent accepts a copy of a direct launch of an earlier attempt of the same task. Then a
+// higher token is requested, and SendWaitingLaunches sends the launch.
+func (dp *Dispatcher) tokenAllowsLaunch(task wire.TaskID, attempt *cluster.Attempt) bool {
+	machine := attempt.Machine
+	if !machine.OtherDirectLaunchAcceptedWith(task, attempt.Number, dp.Fencing.Token, machine.Epoch) {
+		return true
+	}
+	dp.Fencing.LaunchWaits = true
+	if dp.waitingForToken == nil {
+		dp.waitingForToken = map[*cluster.Machine]struct{}{}
+	}
+	dp.waitingForToken[machine] = struct{}{}
+	return false
+}
+
+// SendWaitingLaunches sends the launches that had to wait for a higher token. It is to be called
+// when the term has acquired one.
+func (dp *Dispatcher) SendWaitingLaunches() {
+	waiting := dp.waitingForToken
+	dp.waitingForToken = nil
+	for machine := range waiting {
+		dp.SendDueCommands(machine)
+	}
+}
+
 // sendCommands sends a direct request in the background and posts its outcome to the term's
 // loop.
 func (dp *Dispatcher) sendCommands(machine *cluster.Machine, commands wire.Commands, launched []*cluster.Attempt) {
--- a/internal/leader/agents/doc.go
+++ b/internal/leader/agents/doc.go
@@ -19,8 +19,13 @@
 // # Forgetting an outcome
 //
 // An agent keeps the outcome of an attempt until it is told to forget it. The leader does so
-// only once the outcome is stored and no launch of the attempt can arrive any more. Without
-// this, a late launch would make an agent run an attempt again that it has forgotten.
+// only once the outcome is stored and the agent refuses every launch of the attempt that can
+// still arrive. Without this, a late launch would make an agent run an attempt again that it has
+// forgotten. The answer to a direct launch does not rule that out, since the network may deliver
+// a copy of the request. The exit is therefore kept until the term acts under a higher token than
+// the launch; the forget command brings that token to the agent. One new token serves all
+// machines. A response to a heartbeat is never delivered again, so that attempts that were only
+// launched in that way are forgotten at once.
 //
 // # What a probe proves
 //
--- a/internal/leader/agents/heartbeat_answers.go
+++ b/internal/leader/agents/heartbeat_answers.go
@@ -8,12 +8,21 @@
 	"lilaclead/internal/wire"
 )
 
+const (
+	// maxForgetDelay is how long an exit that waits for a higher token is kept before one is
+	// acquired. Heartbeats list the exits meanwhile, and one token serves all machines.
+	maxForgetDelay = time.Minute
+	// manyKeptExits is the number of kept exits in one heartbeat from which a higher token is
+	// acquired without that delay.
+	manyKeptExits = 150
+)
+
 // HeartbeatResponseCommands returns the commands for the response to a heartbeat. A command is
 // repeated until a heartbeat shows that it has arrived.
 func (dp *Dispatcher) HeartbeatResponseCommands(machine *cluster.Machine, heartbeat *wire.Heartbeat, now time.Time) []wire.Command {
 	commands := dp.AppendStops(machine, []wire.Command{}, now)
 	commands = dp.appendLaunches(commands, machine, heartbeat)
-	return dp.appendCleanups(commands, machine, heartbeat)
+	return dp.appendCleanups(commands, machine, heartbeat, now)
 }
 
 // AppendStops appends a stop for each of a machine's attempts that is to be stopped. Stops
@@ -39,7 +48,7 @@
 		if len(commands) >= MaxCommands {
 			break
 		}
-		if awaitsLaunch(attempt) && !attempt.LaunchInFlight && machine.Inbound.Works() {
+		if awaitsLaunch(attempt) && !attempt.LaunchInFlight && machine.Inbound.Works() && dp.tokenAllowsLaunch(task, attempt) {
 			commands = append(commands, launchCommand(task, attempt))
 			attempt.LaunchSent, attempt.LaunchEpoch = true, heartbeat.Epoch
 			attempt.ResponseEpoch, attempt.ResponseSequence = heartbeat.Epoch, heartbeat.Sequence
@@ -51,7 +60,8 @@
 
 // appendCleanups appends commands for the attempts in a heartbeat of which this leader has no
 // record: a stop if the attempt has not exited, otherwise a forget once that is allowed.
-func (dp *Dispatcher) appendCleanups(commands []wire.Command, machine *cluster.Machine, heartbeat *wire.Heartbeat) []wire.Command {
+func (dp *Dispatcher) appendCleanups(commands []wire.Command, machine *cluster.Machine, heartbeat *wire.Heartbeat, now time.Time) []wire.Command {
+	keptExits := 0
 	for i := range heartbeat.Tasks {
 		status := &heartbeat.Tasks[i]
 		if len(commands) >= MaxCommands {
@@ -72,16 +82,23 @@
 		case dp.mayForget(machine, task, heartbeat):
 			commands = append(commands, wire.Command{Verb: wire.VerbForget, Task: status.Task, Attempt: status.Attempt})
 			dp.Attempts.ForgetOrdered(status.Task, status.Attempt, machine.ID, dp.forgetGround(task))
+		case dp.forgetAwaitsToken(machine, task, heartbeat):
+			keptExits++
 		}
 	}
+	if keptExits > 0 {
+		dp.Fencing.RequestRaiseBy(now.Add(maxForgetDelay))
+	}
+	if keptExits >= manyKeptExits {
+		dp.Fencing.RaiseRequested = true
+	}
 	return commands
 }
 
 // mayForget reports whether an agent may forget the outcome of an attempt: the outcome is
-// stored, the agent has seen a token of this term, and no launch that could start the attempt
-// again is in flight to it. A late launch would run a forgotten attempt again. If an unanswered
-// launch may still arrive, mayForget requests a higher fencing token, with which the agent drops
-// that launch.
+// stored, the agent has seen a token of this term, and no direct launch can start the attempt
+// again. Such a launch may be in flight, or unanswered, or a copy of an answered one. The agent
+// refuses it once it has a higher token, which the forget command brings, too.
 func (dp *Dispatcher) mayForget(machine *cluster.Machine, task wire.TaskID, heartbeat *wire.Heartbeat) bool {
 	if machine.LaunchMayArrive(heartbeat) {
 		dp.Fencing.RaiseRequested = true
@@ -90,15 +107,25 @@
 	if machine.CommandInFlight || heartbeat.Token < dp.State.FirstToken {
 		return false
 	}
+	if machine.DirectLaunchAcceptedWith(task, dp.Fencing.Token, heartbeat.Epoch) {
+		return false
+	}
 	return outcomeStored(dp.State.Jobs[task.Job], task)
 }
 
-// forgetGround says for the log why the outcome of a task's attempt counts as stored.
+// forgetAwaitsToken reports whether an agent may forget the outcome of an attempt once the term
+// has a higher token.
+func (dp *Dispatcher) forgetAwaitsToken(machine *cluster.Machine, task wire.TaskID, heartbeat *wire.Heartbeat) bool {
+	copyMayStart := machine.DirectLaunchAcceptedWith(task, dp.Fencing.Token, heartbeat.Epoch)
+	return copyMayStart && outcomeStored(dp.State.Jobs[task.Job], task)
+}
+
+// forgetGround says for the log why an attempt of a task may be forgotten.
 func (dp *Dispatcher) forgetGround(task wire.TaskID) string {
 	if dp.State.Jobs[task.Job] == nil {
-		return "job archived"
+		return "job archived, no launch accepted"
 	}
-	return "outcome stored"
+	return "outcome stored, no launch accepted"
 }
 
 // outcomeStored reports whether the outcomes of a task's attempts are stored. A nil job is
--- a/internal/leader/cluster/machine.go
+++ b/internal/leader/cluster/machine.go
@@ -93,7 +93,10 @@
 	LastRelayUnanswered bool
 	// UnansweredLaunch covers all launches that were never answered.
 	UnansweredLaunch UnansweredCommand
-	Inbound          detector.InboundPath
+	// directLaunches are the last direct launches of tasks of which the agent may still accept a
+	// copy.
+	directLaunches map[wire.TaskID]DirectLaunch
+	Inbound        detector.InboundPath
 }
 
 // MachineFailures is the evidence that a machine is faulty or slow, as opposed to a job that
--- a/internal/leader/core/fencing.go
+++ b/internal/leader/core/fencing.go
@@ -18,6 +18,38 @@
 	RaiseRequested bool
 	// RaiseNotBefore is the time before which no requested raise begins.
 	RaiseNotBefore time.Time
+	// LaunchWaits means that a launch may be sent only under a higher token.
+	LaunchWaits bool
+	// RaiseBy is when a higher token is to be acquired at the latest; zero: at no time.
+	RaiseBy time.Time
+	// raisedAt is when the last raise began.
+	raisedAt time.Time
+}
+
+// minRaiseInterval is the least time between two raises that launches wait for.
+const minRaiseInterval = 5 * time.Second
+
+// RequestRaiseBy requests that a higher token is acquired at a time or earlier.
+func (f *Fencing) RequestRaiseBy(at time.Time) {
+	if f.RaiseBy.IsZero() || at.Before(f.RaiseBy) {
+		f.RaiseBy = at
+	}
+}
+
+// RaiseDue reports whether a requested raise is to begin now.
+func (f *Fencing) RaiseDue(now time.Time) bool {
+	if f.LaunchWaits && now.Sub(f.raisedAt) >= minRaiseInterval {
+		return true
+	}
+	requested := f.RaiseRequested || !f.RaiseBy.IsZero() && !now.Before(f.RaiseBy)
+	return requested && now.After(f.RaiseNotBefore)
+}
+
+// BeginRaise records that a raise begins, which serves all requests. Later requests wait for the
+// given time.
+func (f *Fencing) BeginRaise(now time.Time, pause time.Duration) {
+	f.Raising, f.RaiseRequested, f.LaunchWaits, f.RaiseBy = true, false, false, time.Time{}
+	f.raisedAt, f.RaiseNotBefore = now, now.Add(pause)
 }
 
 // Published is the part of a term that other goroutines read.
--- a/internal/leader/progress/committer.go
+++ b/internal/leader/progress/committer.go
@@ -33,7 +33,7 @@
 	if co.Fencing.Raising || !co.Writer.ready(now) {
 		return
 	}
-	if co.Fencing.RaiseRequested && now.After(co.Fencing.RaiseNotBefore) {
+	if co.Fencing.RaiseDue(now) {
 		co.raiseToken(raiseForCommand, nil)
 		return
 	}
--- a/internal/leader/progress/token.go
+++ b/internal/leader/progress/token.go
@@ -25,9 +25,7 @@
 // guard on the leader's key, and every agent that has seen the new token rejects commands
 // with the old one. If there is an unresolved transaction, its outcome is read after that.
 func (co *Committer) raiseToken(reason raiseReason, unresolved *batch) {
-	co.Fencing.Raising = true
-	co.Fencing.RaiseRequested = false
-	co.Fencing.RaiseNotBefore = time.Now().Add(co.State.Settings.Workers.Lease.Duration() / 2)
+	co.Fencing.BeginRaise(time.Now(), co.State.Settings.Workers.Lease.Duration()/2)
 	old := co.Fencing.Token
 	co.Spawn(func(ctx context.Context) {
 		token, err := co.Lease.RaiseToken(ctx, old)
@@ -51,6 +49,7 @@
 	}
 	co.Mesh.ObserveToken(co.Context(), e.token)
 	co.Fencing.Raising = false
+	co.Dispatcher.SendWaitingLaunches()
 	if e.unresolved != nil {
 		co.Spawn(func(ctx context.Context) { co.readOutcome(ctx, e.unresolved) })
 	}
--- a/internal/leader/reconcile/answer.go
+++ b/internal/leader/reconcile/answer.go
@@ -26,6 +26,9 @@
 	if !heartbeat.IsNewerThan(machine.Epoch, machine.Sequence) {
 		return rc.onStaleHeartbeat(machine, heartbeat, now)
 	}
+	if machine.Restarted {
+		return HeartbeatResponse{Rejected: errMachineRestarted}
+	}
 	if rc.recordHeartbeatPath(machine, relayed, now) {
 		return HeartbeatResponse{Redirect: true}
 	}
--- a/internal/leader/reconcile/heartbeat.go
+++ b/internal/leader/reconcile/heartbeat.go
@@ -59,7 +59,8 @@
 
 // updateMachine records what a heartbeat says about the machine itself.
 func (rc *Reconciler) updateMachine(machine *cluster.Machine, heartbeat *wire.Heartbeat, now time.Time) {
-	if heartbeat.Epoch > machine.Epoch {
+	epochBegan := heartbeat.Epoch > machine.Epoch
+	if epochBegan {
 		// The images of the machine are kept: they survive the expiry of a lease. A restart,
 		// which loses them, begins with the first epoch again.
 		machine.EpochSince = now
@@ -71,7 +72,10 @@
 	if machine.Token < rc.state.FirstToken && heartbeat.Token >= rc.state.FirstToken {
 		machine.TokenSeenAt = now
 	}
-	machine.Token = max(machine.Token, heartbeat.Token)
+	if heartbeat.Token > machine.Token || epochBegan {
+		machine.Token = max(machine.Token, heartbeat.Token)
+		machine.DropRefusedLaunches()
+	}
 }
 
 // updateSpotNotice records when the cloud will reclaim the machine, if the heartbeat carries a
--- a/internal/leader/reconcile/reconciler.go
+++ b/internal/leader/reconcile/reconciler.go
@@ -61,6 +61,7 @@
 	errNotLeading           = errors.New("can't tell whether this node still leads")
 	errCancellationsUnknown = errors.New("can't tell what was cancelled")
 	errMachineRemoved       = errors.New("this machine was returned")
+	errMachineRestarted     = errors.New("this machine restarted and is being returned")
 	errStaleHeartbeat       = errors.New("an older report than the last")
 	errCancelPending        = errors.New("a cancelled task may still start there")
 )
--- a/internal/leader/reconcile/tasks.go
+++ b/internal/leader/reconcile/tasks.go
@@ -108,6 +108,11 @@
 	}
 	epochEnded := attempt.LaunchSent && heartbeat.Epoch > attempt.LaunchEpoch
 	startUnwanted := attempt.Stopping || attempt.Machine.DrainReason != "" || attempt.Job.Cancelled
+	ended := attempt.SeenInHeartbeat || attempt.Inherited || epochEnded || startUnwanted
+	if ended && attempt.Machine.DirectLaunchAcceptedWith(attempt.Task(), heartbeat.Token, heartbeat.Epoch) {
+		rc.Fencing.RaiseRequested = true // a copy of the launch could start the attempt after all
+		return
+	}
 	switch {
 	case attempt.SeenInHeartbeat, attempt.Inherited, epochEnded:
 		rc.Log.Info("task lost", "task", attempt.Task(), "attempt", attempt.Number, "machine", attempt.Machine.ID, "epoch", heartbeat.Epoch)
--- a/internal/scenarios/gang_random_faults_test.go
+++ b/internal/scenarios/gang_random_faults_test.go
@@ -22,6 +22,7 @@
 			runWithSettings(t, settings, 820+seed, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
 				randomSeconds, size := randomDelay(rng), settings.Size
 				var uncancelled []simulator.JobScript
+				sim.CopyCommandsAtRandom(copiedShare)
 				sleepUntil(2 * time.Second)
 				sim.Submit(service(900, 3), 0)
 				for n := range 24 {
--- a/internal/scenarios/late_command_copies_test.go
+++ b/internal/scenarios/late_command_copies_test.go
@@ -20,8 +20,7 @@
 	end      func(t *testing.T, sim *simulator.Simulation) []simulator.JobScript
 }{
 	{"failed", 300 * time.Millisecond, func(_ *testing.T, sim *simulator.Simulation) []simulator.JobScript {
-		machines := sim.RunningMachines()
-		for _, id := range machines[:len(machines)/2] {
+		for _, id := range sim.RunningMachines()[1:] {
 			sim.MakeFaulty(id)
 		}
 		job := array(10, 8, 12)
@@ -55,7 +54,6 @@
 		job := service(10, 4)
 		sim.Submit(job, 0)
 		waitUntil(t, 60*time.Second, "all replicas run", func() bool { return tasksOnMachines(sim, job.Spec.ID) == job.Spec.Tasks })
-		sim.SetCloudOutage(true) // so that the drained machine is not returned
 		sim.GiveSpotNotice(sim.MachinesRunning(job.Spec.ID)[0], 75*time.Second)
 		time.Sleep(3 * time.Second)
 		return nil
@@ -116,7 +114,8 @@
 						sleepUntil(2 * time.Second)
 						submitAll(sim, warmUp, serviceJob)
 						sleepUntil(30 * time.Second)
-						sim.CopyCommands(simulator.CommandCopies{Share: 1, MinDelay: attemptEnd.minDelay, MaxDelay: 50 * time.Second, Most: 6})
+						sim.CopyCommands(simulator.CommandCopies{Share: 1, MinDelay: attemptEnd.minDelay, MaxDelay: 50 * time.Second, Most: 12})
+						sim.SetCloudOutage(true) // so that no machine is returned before the copies arrive
 						jobs := attemptEnd.end(t, sim)
 						machines := sim.RunningMachines()
 						if hang > 0 {
--- a/internal/scenarios/leader_log_test.go
+++ b/internal/scenarios/leader_log_test.go
@@ -65,6 +65,8 @@
 		job := array(1, 4, 5)
 		sleepUntil(2 * time.Second)
 		sim.Submit(job, 0)
+		sleepUntil(30 * time.Second)
+		sim.SetCloudOutage(true) // so that no machine is returned
 		sleepUntil(150 * time.Second)
 		mustFinish(t, sim, job)
 		previous := -1
--- a/internal/scenarios/random_fault_pairs_test.go
+++ b/internal/scenarios/random_fault_pairs_test.go
@@ -97,6 +97,7 @@
 						return func() {}
 					},
 				}
+				sim.CopyCommandsAtRandom(copiedShare)
 				sleepUntil(2 * time.Second)
 				sim.Submit(serviceJob, 0)
 				for range 3 {
@@ -121,6 +122,7 @@
 					endLater()
 				}
 				mustRecover(t, sim, 3, append(uncancelled, serviceJob)...)
+				mustHaveCopiedCommands(t, sim)
 			})
 		})
 	}
@@ -139,6 +141,7 @@
 				randomZone := func() wire.Zone { return []wire.Zone{"a", "b"}[rng.IntN(2)] }
 				serviceJob, sameZoneService := service(1, 4), service(2, 3)
 				sameZoneService.Spec.SameZone, sameZoneService.Spec.Spread = true, false
+				sim.CopyCommandsAtRandom(copiedShare)
 				sleepUntil(2 * time.Second)
 				submitAll(sim, serviceJob, sameZoneService)
 				var submitted []simulator.JobScript
@@ -246,6 +249,7 @@
 				mustRun(t, sim, serviceJob, "after all faults")
 				mustRun(t, sim, sameZoneService, "of the single-zone service after all faults")
 				mustLeaveNoKeys(t, sim, serviceJob, sameZoneService)
+				mustHaveCopiedCommands(t, sim)
 			})
 		})
 	}
--- a/internal/scenarios/random_faults_test.go
+++ b/internal/scenarios/random_faults_test.go
@@ -19,6 +19,7 @@
 			runOnBothLayouts(t, seed, func(t *testing.T, sim *simulator.Simulation, sleepUntil func(time.Duration)) {
 				rng := rand.New(rand.NewPCG(seed, 1))
 				var uncancelled []simulator.JobScript
+				sim.CopyCommandsAtRandom(copiedShare)
 				sleepUntil(2 * time.Second)
 				serviceJob := service(900, 3)
 				sim.Submit(serviceJob, 0)
@@ -69,6 +70,7 @@
 				markFaultsOver(sim)
 				time.Sleep(150 * time.Second)
 				mustFinish(t, sim, uncancelled...)
+				mustHaveCopiedCommands(t, sim)
 			})
 		})
 	}
@@ -86,6 +88,7 @@
 			runWithSettings(t, settingsOfSize(5), 300+seed, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
 				randomSeconds := randomDelay(rng)
 				serviceJob, uncancelled := service(1, 4), []simulator.JobScript{}
+				sim.CopyCommandsAtRandom(copiedShare)
 				sleepUntil(2 * time.Second)
 				sim.Submit(serviceJob, 0)
 				for n := range 30 {
@@ -120,6 +123,7 @@
 				time.Sleep(150 * time.Second)
 				mustFinish(t, sim, uncancelled...)
 				mustRun(t, sim, serviceJob, "after all faults")
+				mustHaveCopiedCommands(t, sim)
 			})
 		})
 	}
@@ -138,6 +142,7 @@
 				randomSeconds := randomDelay(rng)
 				zones := []wire.Zone{"a", "b", "c"}
 				var uncancelled []simulator.JobScript
+				sim.CopyCommandsAtRandom(copiedShare)
 				for n := range 36 {
 					job := array(10+n, 1+rng.IntN(9), float64(5+rng.IntN(30)))
 					if rng.IntN(4) == 0 {
@@ -186,6 +191,7 @@
 				markFaultsOver(sim)
 				time.Sleep(240 * time.Second)
 				mustFinish(t, sim, uncancelled...)
+				mustHaveCopiedCommands(t, sim)
 			})
 		})
 	}
--- a/internal/simulator/command_copies.go
+++ b/internal/simulator/command_copies.go
@@ -64,8 +64,13 @@
 	return time.Duration(float64(c.config.MinDelay) * math.Pow(factor, c.rng.Float64()))
 }
 
-// scheduleCopies has a request that the machine has executed and answered delivered again.
+// scheduleCopies has a request that the machine has executed and answered delivered again, if it
+// has commands.
 func (m *worker) scheduleCopies(raw []byte) {
+	var request wire.Commands
+	if wire.Decode(raw, &request) != nil || len(request.Commands) == 0 {
+		return
+	}
 	m.sim.mu.Lock()
 	defer m.sim.mu.Unlock()
 	copies := &m.sim.commandCopies
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -260,7 +260,7 @@
 	m.sim.mu.Unlock()
 	sleep(m.ctx, delay.Answer)
 	wire.WriteResponse(rw, status, heartbeat)
-	if status == http.StatusOK && r.URL.Path == "/commands" {
+	if status == http.StatusOK {
 		m.scheduleCopies(raw)
 	}
 }
