A machine takes no more tasks than its heartbeat can list

What callers saw: over some 600 small tasks on one machine its heartbeat exceeds the protocol's 64 KiB, which no agent may send: the lease runs out, and all tasks there, also those of other jobs, begin again. Exits that are kept until the token is raised would bring that about sooner.

Cause: placement counted CPUs, GPUs and memory of a machine, not the tasks that its agent has to list.

Attempts, orphans and exits that the last heartbeat listed count. Scheduling, reservations, headroom and the capacity plan use it by the same arithmetic, so that more machines are requested when the tasks don't fit by their number.

Literals of Resources in tests name their fields; the rows of TestFreeResourcesCountAttemptsAndOrphans state the tasks too.

--- a/imports_test.go
+++ b/imports_test.go
@@ -56,7 +56,7 @@
 	"internal/leader/scheduling/capacity":       "internal/fleet internal/leader/cluster internal/leader/demand internal/leader/scaling internal/leader/scheduling/valuation internal/placement internal/tuning internal/wire",
 	"internal/leader/scheduling":                "internal/fleet internal/leader/cluster internal/leader/scaling internal/leader/scheduling/capacity internal/leader/scheduling/valuation internal/placement internal/tuning internal/wire",
 	"internal/leader/scheduling/schedulingtest": "internal/config internal/leader/cluster internal/leader/scaling internal/store internal/tuning internal/wire", // test fixtures
-	"internal/leader/agents":                    "internal/leader/cluster internal/leader/core internal/netio internal/peer internal/wire",
+	"internal/leader/agents":                    "internal/leader/cluster internal/leader/core internal/netio internal/peer internal/placement internal/wire",
 	"internal/leader/progress":                  "internal/config internal/leader/agents internal/leader/cluster internal/leader/core internal/leader/election internal/peer internal/store internal/undecodable internal/wire",
 	"internal/leader/autoscaler":                "duty internal/cloud internal/config internal/fleet internal/leader/cluster internal/leader/core internal/leader/scaling internal/leader/scheduling internal/wire upgrade",
 	"internal/leader/reconcile":                 "internal/leader/agents internal/leader/autoscaler internal/leader/cluster internal/leader/core internal/leader/delegation internal/leader/detector internal/wire",
--- a/internal/leader/agents/direct_launch_test.go
+++ b/internal/leader/agents/direct_launch_test.go
@@ -58,12 +58,12 @@
 		exits = append(exits, wire.TaskStatus{Task: task.String(), Attempt: 1, Phase: wire.PhaseExited, Cause: wire.CauseDone})
 	}
 	f.HeartbeatResponseCommands(f.machine, heartbeat(11, exits[1:]...), time.Now())
-	if f.Fencing.RaiseRequested {
-		t.Errorf("higher token requested with %d kept exits: got true, want false", len(exits)-1)
+	if f.Fencing.RaiseDue(time.Now()) {
+		t.Errorf("higher token due with %d kept exits: got true, want false", len(exits)-1)
 	}
 	f.HeartbeatResponseCommands(f.machine, heartbeat(12, exits...), time.Now())
-	if !f.Fencing.RaiseRequested {
-		t.Errorf("higher token requested with %d kept exits: got false, want true", len(exits))
+	if !f.Fencing.RaiseDue(time.Now()) {
+		t.Errorf("higher token due with %d kept exits: got false, want true", len(exits))
 	}
 }
 
--- a/internal/leader/agents/dispatcher.go
+++ b/internal/leader/agents/dispatcher.go
@@ -95,7 +95,7 @@
 	if !machine.OtherDirectLaunchAcceptedWith(task, attempt.Number, dp.Fencing.Token, machine.Epoch) {
 		return true
 	}
-	dp.Fencing.LaunchWaits = true
+	dp.Fencing.LaunchesWait = true
 	if dp.waitingForToken == nil {
 		dp.waitingForToken = map[*cluster.Machine]struct{}{}
 	}
--- a/internal/leader/agents/heartbeat_answers.go
+++ b/internal/leader/agents/heartbeat_answers.go
@@ -5,6 +5,7 @@
 
 	"lilaclead/internal/leader/cluster"
 	"lilaclead/internal/leader/core"
+	"lilaclead/internal/placement"
 	"lilaclead/internal/wire"
 )
 
@@ -13,8 +14,8 @@
 	// acquired. Heartbeats list the exits meanwhile, and one token serves all machines.
 	maxForgetDelay = time.Minute
 	// manyKeptExits is the number of kept exits in one heartbeat from which a higher token is
-	// acquired without that delay.
-	manyKeptExits = 150
+	// acquired without that delay, so that they leave the machine most of its tasks.
+	manyKeptExits = placement.MaxTasksPerMachine / 4
 )
 
 // HeartbeatResponseCommands returns the commands for the response to a heartbeat. A command is
@@ -90,7 +91,7 @@
 		dp.Fencing.RequestRaiseBy(now.Add(maxForgetDelay))
 	}
 	if keptExits >= manyKeptExits {
-		dp.Fencing.RaiseRequested = true
+		dp.Fencing.LaunchesWait = true
 	}
 	return commands
 }
--- a/internal/leader/cluster/machine.go
+++ b/internal/leader/cluster/machine.go
@@ -27,6 +27,8 @@
 	// OrphanTasks are the tasks that its last heartbeat lists with an attempt that this term
 	// does not know.
 	OrphanTasks map[wire.TaskID]bool
+	// ListedExits is how many exited tasks its last heartbeat lists.
+	ListedExits int
 	Images      ImageCache
 	// Reservations are read and written by the scheduler.
 	Reservations []Reservation
--- a/internal/leader/cluster/resources.go
+++ b/internal/leader/cluster/resources.go
@@ -47,14 +47,19 @@
 	return placement.Resources{}
 }
 
-// FreeResources returns the resources that neither attempts nor orphans use. A machine with
-// an orphan of an unknown job has none free, because the orphan may be of any size.
+// noResources is free on a machine on which nothing may be started.
+var noResources = placement.Resources{Tasks: -placement.MaxTasksPerMachine}
+
+// FreeResources returns the resources that neither attempts nor orphans use. The exits that the
+// machine lists count as tasks. A machine with an orphan of an unknown job has none free, because
+// the orphan may be of any size.
 func (s *State) FreeResources(m *Machine) placement.Resources {
 	free := s.TotalResources(m).Minus(m.usedResources)
+	free.Tasks -= float64(m.ListedExits)
 	for task := range m.OrphanTasks {
 		j := s.Jobs[task.Job]
 		if j == nil {
-			return placement.Resources{}
+			return noResources
 		}
 		counted := m.Attempts[task] != nil // in usedResources, by another attempt of the task
 		if !counted {
--- a/internal/leader/cluster/resources_test.go
+++ b/internal/leader/cluster/resources_test.go
@@ -14,16 +14,18 @@
 		machineType wire.MachineType
 		attempts    int
 		orphans     []wire.TaskID
+		listedExits int
 		want        placement.Resources
 	}{
-		"empty":                            {"k4", 0, nil, placement.Resources{CPUs: 4, MemoryGB: 16}},
-		"with attempts":                    {"k4", 2, nil, placement.Resources{CPUs: 2, MemoryGB: 12}},
-		"type not in the catalog":          {"k9", 0, nil, placement.Resources{}},
-		"orphan of a known job":            {"k4", 0, []wire.TaskID{other}, placement.Resources{CPUs: 3, MemoryGB: 14}},
-		"orphan and attempts":              {"k4", 1, []wire.TaskID{other}, placement.Resources{CPUs: 2, MemoryGB: 12}},
-		"orphan of a task with an attempt": {"k4", 1, []wire.TaskID{attempted}, placement.Resources{CPUs: 3, MemoryGB: 14}},
-		"orphan of unknown size":           {"k4", 0, []wire.TaskID{{Job: "req-9", Index: 0}}, placement.Resources{}},
-		"both kinds of orphans":            {"k4", 1, []wire.TaskID{other, {Job: "req-9", Index: 0}}, placement.Resources{}},
+		"empty":                            {"k4", 0, nil, 0, placement.Resources{CPUs: 4, MemoryGB: 16}},
+		"with attempts":                    {"k4", 2, nil, 0, placement.Resources{CPUs: 2, MemoryGB: 12, Tasks: -2}},
+		"type not in the catalog":          {"k9", 0, nil, 0, placement.Resources{}},
+		"orphan of a known job":            {"k4", 0, []wire.TaskID{other}, 0, placement.Resources{CPUs: 3, MemoryGB: 14, Tasks: -1}},
+		"orphan and attempts":              {"k4", 1, []wire.TaskID{other}, 0, placement.Resources{CPUs: 2, MemoryGB: 12, Tasks: -2}},
+		"orphan of a task with an attempt": {"k4", 1, []wire.TaskID{attempted}, 0, placement.Resources{CPUs: 3, MemoryGB: 14, Tasks: -1}},
+		"orphan of unknown size":           {"k4", 0, []wire.TaskID{{Job: "req-9", Index: 0}}, 0, noResources},
+		"both kinds of orphans":            {"k4", 1, []wire.TaskID{other, {Job: "req-9", Index: 0}}, 0, noResources},
+		"exits and attempts":               {"k4", 2, nil, 30, placement.Resources{CPUs: 2, MemoryGB: 12, Tasks: -32}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -35,6 +37,7 @@
 			for i := range tt.attempts {
 				addTestAttempt(j, i, m, 2)
 			}
+			m.ListedExits = tt.listedExits
 			for _, task := range tt.orphans {
 				m.OrphanTasks[task] = true
 			}
--- a/internal/leader/core/fencing.go
+++ b/internal/leader/core/fencing.go
@@ -18,8 +18,9 @@
 	RaiseRequested bool
 	// RaiseNotBefore is the time before which no requested raise begins.
 	RaiseNotBefore time.Time
-	// LaunchWaits means that a launch may be sent only under a higher token.
-	LaunchWaits bool
+	// LaunchesWait means that launches may be sent only under a higher token, or that a machine
+	// takes none because it lists too many exits that wait for one.
+	LaunchesWait bool
 	// RaiseBy is when a higher token is to be acquired at the latest; zero: at no time.
 	RaiseBy time.Time
 	// raisedAt is when the last raise began.
@@ -38,7 +39,7 @@
 
 // RaiseDue reports whether a requested raise is to begin now.
 func (f *Fencing) RaiseDue(now time.Time) bool {
-	if f.LaunchWaits && now.Sub(f.raisedAt) >= minRaiseInterval {
+	if f.LaunchesWait && now.Sub(f.raisedAt) >= minRaiseInterval {
 		return true
 	}
 	requested := f.RaiseRequested || !f.RaiseBy.IsZero() && !now.Before(f.RaiseBy)
@@ -48,7 +49,7 @@
 // BeginRaise records that a raise begins, which serves all requests. Later requests wait for the
 // given time.
 func (f *Fencing) BeginRaise(now time.Time, pause time.Duration) {
-	f.Raising, f.RaiseRequested, f.LaunchWaits, f.RaiseBy = true, false, false, time.Time{}
+	f.Raising, f.RaiseRequested, f.LaunchesWait, f.RaiseBy = true, false, false, time.Time{}
 	f.raisedAt, f.RaiseNotBefore = now, now.Add(pause)
 }
 
--- a/internal/leader/core/fencing_test.go
+++ b/internal/leader/core/fencing_test.go
@@ -24,8 +24,8 @@
 			f.RequestRaiseBy(begin.Add(time.Hour))
 		}, time.Minute, true},
 		{"requested by a time within the pause", func(f *Fencing) { f.RequestRaiseBy(begin.Add(time.Second)) }, pause, false},
-		{"a launch waits, too early", func(f *Fencing) { f.LaunchWaits = true }, minRaiseInterval - 1, false},
-		{"a launch waits", func(f *Fencing) { f.LaunchWaits = true }, minRaiseInterval, true},
+		{"a launch waits, too early", func(f *Fencing) { f.LaunchesWait = true }, minRaiseInterval - 1, false},
+		{"a launch waits", func(f *Fencing) { f.LaunchesWait = true }, minRaiseInterval, true},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/leader/reconcile/tasks.go
+++ b/internal/leader/reconcile/tasks.go
@@ -12,8 +12,12 @@
 // machine is recorded as orphaned.
 func (rc *Reconciler) reconcileTasks(machine *cluster.Machine, heartbeat *wire.Heartbeat, listed map[wire.TaskID]bool, now time.Time) {
 	clear(machine.OrphanTasks)
+	machine.ListedExits = 0
 	for i := range heartbeat.Tasks {
 		status := &heartbeat.Tasks[i]
+		if status.Phase == wire.PhaseExited {
+			machine.ListedExits++
+		}
 		task, err := wire.ParseTaskID(status.Task)
 		if err != nil {
 			continue
--- a/internal/leader/scheduling/capacity/demand_estimate.go
+++ b/internal/leader/scheduling/capacity/demand_estimate.go
@@ -112,7 +112,7 @@
 // limitLeft returns the resources that a team may use in addition to those that it uses. A
 // maximum of 0 means no limit.
 func limitLeft(maxCPUs, maxGPUs float64, used placement.Resources) placement.Resources {
-	left := placement.Resources{CPUs: unlimited, GPUs: unlimited, MemoryGB: unlimited}
+	left := placement.Resources{CPUs: unlimited, GPUs: unlimited, MemoryGB: unlimited, Tasks: unlimited}
 	if maxCPUs > 0 {
 		left.CPUs = maxCPUs - used.CPUs
 	}
--- a/internal/placement/fixtures_test.go
+++ b/internal/placement/fixtures_test.go
@@ -15,17 +15,17 @@
 
 // machineIn returns a machine in a zone with four CPUs, some of them free.
 func machineIn(zone wire.Zone, id wire.MachineID, freeCPUs float64, victims ...Victim) Machine {
-	return Machine{ID: id, Zone: zone, Total: Resources{4, 0, 16}, Free: Resources{freeCPUs, 0, 16}, FetchGBPerSecond: 1, Victims: victims}
+	return Machine{ID: id, Zone: zone, Total: Resources{CPUs: 4, MemoryGB: 16}, Free: Resources{CPUs: freeCPUs, MemoryGB: 16}, FetchGBPerSecond: 1, Victims: victims}
 }
 
 // fullSizeVictim returns a task of standard priority that uses all CPUs of a machine.
 func fullSizeVictim(index int, lostWorkSeconds, remainingSeconds float64) Victim {
-	return Victim{Task: wire.TaskID{Job: "req-9", Index: index}, Rank: 1, Resources: Resources{4, 0, 4}, LostWorkSeconds: lostWorkSeconds, RemainingSeconds: remainingSeconds, Team: "t"}
+	return Victim{Task: wire.TaskID{Job: "req-9", Index: index}, Rank: 1, Resources: Resources{CPUs: 4, MemoryGB: 4}, LostWorkSeconds: lostWorkSeconds, RemainingSeconds: remainingSeconds, Team: "t"}
 }
 
 // fullSizeReservation returns a reservation of all CPUs of a machine for a gang's task.
 func fullSizeReservation(job wire.JobID, priority wire.Priority) []Reservation {
-	return []Reservation{{job, priority.Rank(), Resources{4, 0, 4}}}
+	return []Reservation{{job, priority.Rank(), Resources{CPUs: 4, MemoryGB: 4}}}
 }
 
 // snapshotOf returns a cluster with jobs whose tasks are all pending.
--- a/internal/placement/headroom_test.go
+++ b/internal/placement/headroom_test.go
@@ -21,10 +21,10 @@
 				Teams:         map[wire.TeamID]*Team{"t": {}},
 				Factors:       testFactors,
 				HeadroomUnits: 2,
-				HeadroomUnit:  Resources{1, 0, 4},
+				HeadroomUnit:  Resources{CPUs: 1, MemoryGB: 4},
 				Machines: []Machine{
-					{ID: "m", Zone: "a", Free: Resources{4, 0, 16}, Total: Resources{4, 0, 16}},
-					{ID: "n", Zone: "b", Free: Resources{4, 0, 16}, Total: Resources{4, 0, 16}},
+					{ID: "m", Zone: "a", Free: Resources{CPUs: 4, MemoryGB: 16}, Total: Resources{CPUs: 4, MemoryGB: 16}},
+					{ID: "n", Zone: "b", Free: Resources{CPUs: 4, MemoryGB: 16}, Total: Resources{CPUs: 4, MemoryGB: 16}},
 				},
 				Jobs: []Job{{Spec: &wire.JobSpec{Team: "t", Kind: c.kind, Tasks: 9, CPUs: 1, MemoryGB: 4}, PendingTasks: 9, TasksByZone: map[wire.Zone]int{}, Weight: 1}},
 			}
@@ -41,14 +41,14 @@
 func TestOverdueArrayUsesHeadroomLast(t *testing.T) {
 	snapshot := func(extra ...Machine) *Snapshot {
 		machines := []Machine{
-			{ID: "m", Zone: "a", Free: Resources{1, 0, 4}, Total: Resources{4, 0, 16}},
-			{ID: "n", Zone: "b", Free: Resources{1, 0, 4}, Total: Resources{4, 0, 16}},
+			{ID: "m", Zone: "a", Free: Resources{CPUs: 1, MemoryGB: 4}, Total: Resources{CPUs: 4, MemoryGB: 16}},
+			{ID: "n", Zone: "b", Free: Resources{CPUs: 1, MemoryGB: 4}, Total: Resources{CPUs: 4, MemoryGB: 16}},
 		}
 		return &Snapshot{
 			Teams:         map[wire.TeamID]*Team{"t": {}},
 			Factors:       testFactors,
 			HeadroomUnits: 2,
-			HeadroomUnit:  Resources{1, 0, 4},
+			HeadroomUnit:  Resources{CPUs: 1, MemoryGB: 4},
 			Machines:      append(machines, extra...),
 			Jobs: []Job{{
 				Spec:           &wire.JobSpec{Team: "t", Kind: wire.KindArray, Tasks: 9, CPUs: 1, MemoryGB: 4, SpotAllowed: true},
@@ -62,7 +62,7 @@
 	if starts := Place(snapshot()).Starts; len(starts) != 1 {
 		t.Errorf("headroom only: starts %+v, want one", starts)
 	}
-	other := Machine{ID: "o", Zone: "a", Spot: true, Free: Resources{1, 0, 4}, Total: Resources{16, 0, 64}}
+	other := Machine{ID: "o", Zone: "a", Spot: true, Free: Resources{CPUs: 1, MemoryGB: 4}, Total: Resources{CPUs: 16, MemoryGB: 64}}
 	if starts := Place(snapshot(other)).Starts; len(starts) != 1 || starts[0].MachineIndex != 2 {
 		t.Errorf("headroom and other free resources: starts %+v, want one on machine 2", starts)
 	}
@@ -71,11 +71,11 @@
 // Headroom for services can't be reserved for a gang. Otherwise, the gang reserves resources
 // that it may not use, and waits for ever. A gang whose start is overdue may use the headroom.
 func TestServiceHeadroomIsNotReservedForGang(t *testing.T) {
-	victim := Victim{Task: wire.TaskID{Job: "req-9"}, Rank: 0, Resources: Resources{4, 0, 4}, LostWorkSeconds: 9, RemainingSeconds: 99, Team: "t"}
+	victim := Victim{Task: wire.TaskID{Job: "req-9"}, Rank: 0, Resources: Resources{CPUs: 4, MemoryGB: 4}, LostWorkSeconds: 9, RemainingSeconds: 99, Team: "t"}
 	snapshot := func(gang Job, extra ...Machine) *Snapshot {
 		machines := []Machine{machineIn("a", "m", 4), machineIn("a", "n", 0, victim)}
 		s := snapshotOf(append(machines, extra...), gang)
-		s.HeadroomUnits, s.HeadroomUnit = 1, Resources{4, 0, 4}
+		s.HeadroomUnits, s.HeadroomUnit = 1, Resources{CPUs: 4, MemoryGB: 4}
 		return s
 	}
 	urgent := Job{Spec: gangSpec("req-1", wire.PriorityUrgent, 1, 4)}
@@ -139,10 +139,10 @@
 func TestReservedRoomIsNotHeadroom(t *testing.T) {
 	for freeCPUs, want := range map[float64]int{4: 0, 5: 1, 9: 2} {
 		m := machineIn("a", "m", freeCPUs)
-		reservation := Reservation{"req-1", wire.PriorityUrgent.Rank(), Resources{2, 0, 2}}
+		reservation := Reservation{"req-1", wire.PriorityUrgent.Rank(), Resources{CPUs: 2, MemoryGB: 2}}
 		m.Reservations = []Reservation{reservation, reservation}
 		s := snapshotOf([]Machine{m}, Job{Spec: gangSpec("req-1", wire.PriorityUrgent, 2, 2), ReservedUnits: 2})
-		s.HeadroomUnits, s.HeadroomUnit = 4, Resources{1, 0, 1} // half of it in one zone at most
+		s.HeadroomUnits, s.HeadroomUnit = 4, Resources{CPUs: 1, MemoryGB: 1} // half of it in one zone at most
 		if got := len(Place(s).Starts); got != 2 {
 			t.Errorf("%g CPUs free: %d of 2 tasks start on the resources reserved for them", freeCPUs, got)
 		}
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -80,7 +80,7 @@
 // at once.
 func TestPreferredMachineIsTakenBeforeFallback(t *testing.T) {
 	machine := func(id wire.MachineID) Machine {
-		return Machine{ID: id, Free: Resources{4, 0, 16}, Total: Resources{4, 0, 16}, FetchGBPerSecond: 1}
+		return Machine{ID: id, Free: Resources{CPUs: 4, MemoryGB: 16}, Total: Resources{CPUs: 4, MemoryGB: 16}, FetchGBPerSecond: 1}
 	}
 	withImage := machine("with-image")
 	withImage.Images = map[wire.ImageID]ImageState{"i": ImagePresent}
@@ -104,8 +104,8 @@
 // image. Without this, a replica is started again and again, as often as four times, on the
 // machine where it fails.
 func TestMachineThatFailedJobIsLastChoice(t *testing.T) {
-	failed := Machine{ID: "failed", Free: Resources{4, 0, 16}, Total: Resources{4, 0, 16}, FetchGBPerSecond: 1, ServiceTasks: 1, Images: map[wire.ImageID]ImageState{"i": ImagePresent}}
-	other := Machine{ID: "other", Free: Resources{4, 0, 16}, Total: Resources{4, 0, 16}, FetchGBPerSecond: 1}
+	failed := Machine{ID: "failed", Free: Resources{CPUs: 4, MemoryGB: 16}, Total: Resources{CPUs: 4, MemoryGB: 16}, FetchGBPerSecond: 1, ServiceTasks: 1, Images: map[wire.ImageID]ImageState{"i": ImagePresent}}
+	other := Machine{ID: "other", Free: Resources{CPUs: 4, MemoryGB: 16}, Total: Resources{CPUs: 4, MemoryGB: 16}, FetchGBPerSecond: 1}
 	s := &Snapshot{
 		Teams:    map[wire.TeamID]*Team{"t": {}},
 		Factors:  testFactors,
--- a/internal/placement/preempt_gang_test.go
+++ b/internal/placement/preempt_gang_test.go
@@ -159,7 +159,7 @@
 		free, full := machineIn("a", "m", 4), machineIn("a", "n", 0)
 		free.Reservations = fullSizeReservation("req-1", wire.PriorityStandard)
 		full.Reservations = fullSizeReservation("req-1", wire.PriorityStandard)
-		full.StoppingResources = Resources{4, 0, 4}
+		full.StoppingResources = Resources{CPUs: 4, MemoryGB: 4}
 		return []Machine{free, full}
 	}
 	later := gang("req-2", wire.PriorityStandard, 1)
@@ -177,7 +177,7 @@
 
 	// Both machines are free: the gang starts, although the array has a larger gain.
 	bothFree := halfFree()
-	bothFree[1].Free, bothFree[1].StoppingResources = Resources{4, 0, 16}, Resources{}
+	bothFree[1].Free, bothFree[1].StoppingResources = Resources{CPUs: 4, MemoryGB: 16}, Resources{}
 	res = Place(snapshotOf(bothFree, withReservations, array))
 	if len(res.Starts) != 2 || res.Starts[0].JobIndex != 0 {
 		t.Fatalf("gang with all reserved resources free: %+v, want its two starts", res)
@@ -242,7 +242,7 @@
 				machines = append(machines, machineIn("a", id, 0, fullSizeVictim(i, 5, 500)))
 			}
 			for i := range c.reservations {
-				machines[i].Victims, machines[i].StoppingResources = nil, Resources{4, 0, 4}
+				machines[i].Victims, machines[i].StoppingResources = nil, Resources{CPUs: 4, MemoryGB: 4}
 				machines[i].Reservations = fullSizeReservation("req-1", wire.PriorityUrgent)
 			}
 			res := Place(snapshotOf(machines, Job{Spec: gangSpec("req-1", wire.PriorityUrgent, 2, 4), ReservedUnits: c.reservations}))
@@ -263,7 +263,7 @@
 		}
 		machines := []Machine{machineIn("a", "m", 0), machineIn("a", "n", 0), machineIn("a", "o", 0, victims[0]), machineIn("a", "p", 0, victims[1])}
 		for i := range 2 {
-			machines[i].StoppingResources = Resources{4, 0, 4}
+			machines[i].StoppingResources = Resources{CPUs: 4, MemoryGB: 4}
 			machines[i].Reservations = fullSizeReservation("req-1", wire.PriorityUrgent)
 		}
 		s := snapshotOf(machines, Job{Spec: gangSpec("req-1", wire.PriorityUrgent, 2, 4), ReservedUnits: 2}, Job{Spec: gangSpec("req-2", wire.PriorityUrgent, 2, 4)})
@@ -278,11 +278,11 @@
 // are preempted only if no others can be. For a gang that has no start objective, or is
 // late already, the lowest priority is preempted first.
 func TestGangInTimePreemptsTasksThatStopAtOnce(t *testing.T) {
-	savingVictim := Victim{Task: wire.TaskID{Job: "req-8"}, Rank: 0, Resources: Resources{4, 0, 4}, LostWorkSeconds: 3, RemainingSeconds: 99, CheckpointSeconds: 3, Team: "t"}
-	immediateVictim := Victim{Task: wire.TaskID{Job: "req-9"}, Rank: 1, Resources: Resources{4, 0, 4}, LostWorkSeconds: 30, RemainingSeconds: 99, Team: "t"}
+	savingVictim := Victim{Task: wire.TaskID{Job: "req-8"}, Rank: 0, Resources: Resources{CPUs: 4, MemoryGB: 4}, LostWorkSeconds: 3, RemainingSeconds: 99, CheckpointSeconds: 3, Team: "t"}
+	immediateVictim := Victim{Task: wire.TaskID{Job: "req-9"}, Rank: 1, Resources: Resources{CPUs: 4, MemoryGB: 4}, LostWorkSeconds: 30, RemainingSeconds: 99, Team: "t"}
 	full := func(victims ...Victim) Machine {
 		m := machineIn("a", "m", 0, victims...)
-		m.Total = Resources{4 * float64(len(victims)), 0, 32}
+		m.Total = Resources{CPUs: 4 * float64(len(victims)), MemoryGB: 32}
 		return m
 	}
 	other := machineIn("a", "n", 0, immediateVictim)
--- a/internal/placement/preempt_test.go
+++ b/internal/placement/preempt_test.go
@@ -23,15 +23,15 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			victim := func(index int, lostWorkSeconds float64) []Victim {
-				return []Victim{{Task: wire.TaskID{Job: "req-1", Index: index}, Rank: c.victimPriority.Rank(), Resources: Resources{4, 0, 4}, LostWorkSeconds: lostWorkSeconds, Team: "t"}}
+				return []Victim{{Task: wire.TaskID{Job: "req-1", Index: index}, Rank: c.victimPriority.Rank(), Resources: Resources{CPUs: 4, MemoryGB: 4}, LostWorkSeconds: lostWorkSeconds, Team: "t"}}
 			}
 			s := &Snapshot{
 				AllowPreemption: true,
 				Teams:           map[wire.TeamID]*Team{"t": {}},
 				Factors:         testFactors,
 				Machines: []Machine{
-					{ID: "m", Total: Resources{4, 0, 16}, Victims: victim(0, 30)},
-					{ID: "n", Total: Resources{4, 0, 16}, Victims: victim(1, 3)},
+					{ID: "m", Total: Resources{CPUs: 4, MemoryGB: 16}, Victims: victim(0, 30)},
+					{ID: "n", Total: Resources{CPUs: 4, MemoryGB: 16}, Victims: victim(1, 3)},
 				},
 				Jobs: []Job{{Spec: &wire.JobSpec{Team: "t", Kind: c.kind, Priority: c.priority, Tasks: 1, CPUs: 2, MemoryGB: 4}, PendingTasks: 1, TasksByZone: map[wire.Zone]int{}, Weight: 1}},
 			}
@@ -84,8 +84,8 @@
 	spec := func(id wire.JobID, priority wire.Priority, cpus float64) *wire.JobSpec {
 		return &wire.JobSpec{ID: id, Team: "t", Kind: wire.KindArray, Priority: priority, Tasks: 9, CPUs: cpus, MemoryGB: 3.5 * cpus, SpotAllowed: true}
 	}
-	halfSize, machineSize := Resources{2, 0, 7}, Resources{4, 0, 16}
-	noFreeCPUs := Resources{0, 0, 2}
+	halfSize, machineSize := Resources{CPUs: 2, MemoryGB: 7}, Resources{CPUs: 4, MemoryGB: 16}
+	noFreeCPUs := Resources{CPUs: 0, MemoryGB: 2}
 	snapshot := func(m Machine, jobs ...Job) *Snapshot {
 		m.ID, m.Total, m.FetchGBPerSecond = "n", machineSize, 1
 		for i := range jobs {
@@ -112,7 +112,7 @@
 	urgentSpec := spec("req-1", wire.PriorityUrgent, 4)
 	reservations := []Reservation{{urgentSpec.ID, urgentSpec.Priority.Rank(), ResourcesOf(urgentSpec)}}
 	full := func(victims ...Victim) Machine { return Machine{Victims: victims, Free: noFreeCPUs} }
-	halfFree := Machine{Reservations: reservations, Free: Resources{2, 0, 9}, StoppingResources: halfSize}
+	halfFree := Machine{Reservations: reservations, Free: Resources{CPUs: 2, MemoryGB: 9}, StoppingResources: halfSize}
 	twoVictims := []Victim{victim(0), victim(1)}
 	endingSoon := full(endingIn(3, victim(0)), endingIn(4, victim(1)))
 	notPreemptible := Victim{Task: wire.TaskID{Job: "req-8"}, Rank: 2, Resources: machineSize, RemainingSeconds: 2}
@@ -195,7 +195,7 @@
 // first. Then come those of the lowest rank, and within a rank those that lose least work.
 func TestOrderOfVictimsOnMachine(t *testing.T) {
 	victim := func(index, rank int, lostWorkSeconds, remainingSeconds float64) Victim {
-		return Victim{Task: wire.TaskID{Job: "req-9", Index: index}, Rank: rank, Resources: Resources{2, 0, 2}, LostWorkSeconds: lostWorkSeconds, RemainingSeconds: remainingSeconds, Team: "t"}
+		return Victim{Task: wire.TaskID{Job: "req-9", Index: index}, Rank: rank, Resources: Resources{CPUs: 2, MemoryGB: 2}, LostWorkSeconds: lostWorkSeconds, RemainingSeconds: remainingSeconds, Team: "t"}
 	}
 	for _, c := range []struct {
 		name        string
--- a/internal/simulator/machine_faults.go
+++ b/internal/simulator/machine_faults.go
@@ -21,6 +21,8 @@
 	hungFor            map[wire.MachineID]time.Duration    // how long each machine has hung, without a hang that still lasts
 	hungSince          map[wire.MachineID]time.Time        // when each machine last began to hang
 	commandDelay       CommandDelay
+	mostListedTasks    int // in one heartbeat
+	largestHeartbeat   int // bytes of the largest heartbeat as JSON
 	launchRefusals     map[wire.MachineID]launchRefusals
 	lateCommands       map[wire.Verb]int // late commands by verb: see LateCommands
 }
--- a/internal/simulator/message_faults.go
+++ b/internal/simulator/message_faults.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// recordHeartbeatSize records the size of a heartbeat unless an earlier one lists more tasks; the
+// caller holds the lock.
+func (sim *Simulation) recordHeartbeatSize(heartbeat *wire.Heartbeat) {
+	faults := &sim.machineFaults
+	if len(heartbeat.Tasks) >= faults.mostListedTasks {
+		faults.mostListedTasks = len(heartbeat.Tasks)
+		faults.largestHeartbeat = max(faults.largestHeartbeat, wire.MaxJSONSize(heartbeat))
+	}
+}
+
+// LargestHeartbeat returns the size in bytes, as JSON, of the heartbeat that lists the most tasks,
+// and the number of those tasks.
+func (sim *Simulation) LargestHeartbeat() (bytes, tasks int) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return sim.machineFaults.largestHeartbeat, sim.machineFaults.mostListedTasks
+}
+
 // RecordHeartbeats records every heartbeat from now on: see RecordedHeartbeats.
 func (sim *Simulation) RecordHeartbeats() {
 	sim.mu.Lock()
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -71,6 +71,7 @@
 	for task, run := range m.tasks {
 		heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{Task: task.String(), Attempt: run.attempt, Phase: run.phase, Cause: run.cause, CheckpointSaved: run.checkpointed})
 	}
+	m.sim.recordHeartbeatSize(&heartbeat)
 	return heartbeat
 }
 
