Log refused commands; the status line tells how many exits the agents list

Why a command had no effect could only be guessed from lilaclead_commands_total. A refused direct command is logged with both tokens and epochs (probes are not). The status line has the exited tasks that agents list, in all and the most on one machine: what the wait for a higher token costs. Tests of internal/leader pass; no change of behaviour.

--- a/internal/leader/reconcile/command_answers.go
+++ b/internal/leader/reconcile/command_answers.go
@@ -54,7 +54,10 @@
 	kind := outcomeKindOf(&outcome)
 	rc.Metrics.Command(string(kind))
 	switch kind {
-	case commandAnswered, commandRefused:
+	case commandAnswered:
+		rc.onCommandAnswered(&outcome, now)
+	case commandRefused:
+		rc.logRefusal(&outcome)
 		rc.onCommandAnswered(&outcome, now)
 	case commandNotSent:
 		recordUnansweredCommand(machine)
@@ -68,6 +71,16 @@
 	}
 }
 
+// logRefusal logs why an agent refused commands. Probes are left out.
+func (rc *Reconciler) logRefusal(outcome *agents.CommandOutcome) {
+	if len(outcome.Commands.Commands) == 0 {
+		return
+	}
+	rc.Log.Info("commands refused", "machine", outcome.Machine.ID, "commands", len(outcome.Commands.Commands),
+		"token", outcome.Commands.Token, "agent_token", outcome.Heartbeat.Token,
+		"epoch", outcome.Commands.Epoch, "agent_epoch", outcome.Heartbeat.Epoch)
+}
+
 // onCommandAnswered reconciles the heartbeat in the response to a command.
 func (rc *Reconciler) onCommandAnswered(outcome *agents.CommandOutcome, now time.Time) {
 	machine, heartbeat, known := outcome.Machine, outcome.Heartbeat, outcome.LastHeartbeatBefore
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -7,6 +7,8 @@
 	up, booting, idle   int // machines; idle ones are up and have no task
 	pendingJobs         int // jobs with tasks that wait to be started
 	tasks, active, done int // all tasks, and those that are active and done
+	listedExits         int // exited tasks in the machines' last heartbeats
+	mostListedExits     int // of one machine
 }
 
 func (t *term) countCluster() clusterCounts {
@@ -17,6 +19,8 @@
 			continue
 		}
 		counts.up++
+		counts.listedExits += m.ListedExits
+		counts.mostListedExits = max(counts.mostListedExits, m.ListedExits)
 		if len(m.Attempts) == 0 {
 			counts.idle++
 		}
@@ -48,6 +52,8 @@
 		"jobs_pending", counts.pendingJobs,
 		"tasks_active", counts.active,
 		"tasks_pending", counts.tasks-counts.active-counts.done,
+		"exits_listed", counts.listedExits,
+		"exits_listed_most", counts.mostListedExits,
 		"backlog_s", int(t.scheduler.BacklogSeconds),
 		"scale_out_holds", t.scheduler.Holds.String(),
 		"cycle_duration", t.state.CycleTimer.LastDuration,
