--- a/internal/scenarios/busy_fleet_test.go
+++ b/internal/scenarios/busy_fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -38,13 +37,8 @@
 // commandCount returns the value of lilaclead_commands_total for an outcome on all controllers.
 func commandCount(sim *simulator.Simulation, outcome string) (count float64) {
 	for i := range sim.Settings.Size {
-		_, raw, _ := sim.AskAsOperator(i, "GET", "/metrics", nil)
-		for line := range strings.Lines(string(raw)) {
-			if v, ok := strings.CutPrefix(line, `lilaclead_commands_total{outcome="`+outcome+`"} `); ok {
-				n, _ := strconv.ParseFloat(strings.TrimSpace(v), 64)
-				count += n
-			}
-		}
+		n, _ := metricValue(sim, i, `lilaclead_commands_total{outcome="`+outcome+`"}`)
+		count += n
 	}
 	return count
 }
--- a/internal/scenarios/helpers_checks_test.go
+++ b/internal/scenarios/helpers_checks_test.go
@@ -69,19 +69,27 @@
 	})
 }
 
+// metricValue returns the value of a metric of a controller, given its name with its labels, and
+// whether the controller exposes it.
+func metricValue(sim *simulator.Simulation, node int, name string) (value float64, ok bool) {
+	_, raw, _ := sim.AskAsOperator(node, "GET", "/metrics", nil)
+	for line := range strings.Lines(string(raw)) {
+		if text, found := strings.CutPrefix(line, name+" "); found {
+			value, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+			return value, err == nil
+		}
+	}
+	return 0, false
+}
+
 // preemptionCount returns how many tasks the leader has preempted, according to its metrics.
 func preemptionCount(t *testing.T, sim *simulator.Simulation) float64 {
 	t.Helper()
-	_, raw, _ := sim.AskAsOperator(sim.Leader(), "GET", "/metrics", nil)
-	for line := range strings.Lines(string(raw)) {
-		if v, ok := strings.CutPrefix(line, "lilaclead_preemptions_total "); ok {
-			if n, err := strconv.ParseFloat(strings.TrimSpace(v), 64); err == nil {
-				return n
-			}
-		}
+	count, ok := metricValue(sim, sim.Leader(), "lilaclead_preemptions_total")
+	if !ok {
+		t.Fatal("the leader's metrics have no readable lilaclead_preemptions_total")
 	}
-	t.Fatal("the leader's metrics have no readable lilaclead_preemptions_total")
-	return 0
+	return count
 }
 
 // leftoverKeys lists the keys of job and progress records in the key-value store, except
--- a/internal/scenarios/leader_log_test.go
+++ b/internal/scenarios/leader_log_test.go
@@ -1,10 +1,7 @@
 package scenarios_test
 
 import (
-	"bytes"
 	"context"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -14,45 +11,11 @@
 	"lilaclead/internal/simulator"
 )
 
-// lockedBuffer is a buffer for the logs of several controllers.
-type lockedBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-// Write appends a line.
-func (b *lockedBuffer) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Write(line)
-}
-
-// firstLineWith returns the number and text of the first line that contains all the texts, and
-// whether there is one.
-func (b *lockedBuffer) firstLineWith(texts ...string) (number int, text string, found bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	number = 0
-	for line := range strings.Lines(b.buffer.String()) {
-		matches := 0
-		for _, text := range texts {
-			if strings.Contains(line, text) {
-				matches++
-			}
-		}
-		if matches == len(texts) {
-			return number, line, true
-		}
-		number++
-	}
-	return 0, "", false
-}
-
 // The default log level must tell afterwards what became of an attempt: under which token and epoch
 // it was launched, when its outcome was stored, and on which ground it was to be forgotten.
 func TestLogTellsLaunchOutcomeAndForgettingOfAnAttempt(t *testing.T) {
 	t.Parallel()
-	var log lockedBuffer
+	var log processLog
 	start := func(cfg *config.Config, network netio.Network) (func(context.Context) error, error) {
 		node, err := lilaclead.New(cfg, lilaclead.Options{Net: network, Log: &log})
 		if err != nil {
--- a/internal/scenarios/undecodable_test.go
+++ b/internal/scenarios/undecodable_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,31 +19,6 @@
 	"lilaclead/internal/wire"
 )
 
-// processLog is the log of one controller process.
-type processLog struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (l *processLog) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(p)
-}
-
-// countErrors counts the lines of level ERROR that contain a text.
-func (l *processLog) countErrors(text string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for line := range strings.Lines(l.buf.String()) {
-		if strings.Contains(line, "ERROR") && strings.Contains(line, text) {
-			n++
-		}
-	}
-	return n
-}
-
 // newLoggingController returns a function that makes real controllers and appends the log of each
 // new process to logs.
 func newLoggingController(logs *[]*processLog) func(*config.Config, netio.Network) (func(context.Context) error, error) {
