Kept attempts request no second raise; the log says done for all tasks of a gang

An attempt that waits for its machine to show a higher token requested one in each heartbeat, also when the term had acquired it and only the machine had not shown it yet: one needless write for every such wait. Outcomes of a gang's tasks that complete with another one were logged as lost. What the attempt log holds is written when a term ends. Tests of internal/leader pass.

--- a/internal/leader/cluster/attempt.go
+++ b/internal/leader/cluster/attempt.go
@@ -73,7 +73,7 @@
 	}
 	a.Detach()
 	if !a.Unstored {
-		c.QueueOutcome(a)
+		c.QueueOutcome(a, state)
 	}
 	a.MarkStored()
 	c.TaskStates[a.Index] = state
--- a/internal/leader/cluster/attempt_outcome.go
+++ b/internal/leader/cluster/attempt_outcome.go
@@ -11,10 +11,22 @@
 	Task    wire.TaskID
 	Attempt wire.AttemptNumber
 	Machine wire.MachineID
+	State   TaskState // of the task after the attempt: pending or done
 	// Cause is the cause in the agent's heartbeat; empty: no heartbeat showed the exit.
 	Cause wire.ExitCause
 }
 
+// String returns the cause of the end, for the log.
+func (o AttemptOutcome) String() string {
+	switch {
+	case o.Cause != "":
+		return string(o.Cause)
+	case o.State == TaskDone:
+		return string(wire.CauseDone)
+	}
+	return "lost or not started"
+}
+
 // OutcomeQueue holds the outcomes of a chunk's attempts that are not known to be stored, for the
 // log.
 type OutcomeQueue struct {
@@ -22,9 +34,9 @@
 	inFlight []AttemptOutcome // those in the transaction that is under way
 }
 
-// QueueOutcome adds the outcome of an attempt that has ended.
-func (q *OutcomeQueue) QueueOutcome(a *Attempt) {
-	q.pending = append(q.pending, AttemptOutcome{Task: a.Task(), Attempt: a.Number, Machine: a.Machine.ID, Cause: a.ExitCause})
+// QueueOutcome adds the outcome of an attempt that has ended, with the state of its task.
+func (q *OutcomeQueue) QueueOutcome(a *Attempt, state TaskState) {
+	q.pending = append(q.pending, AttemptOutcome{Task: a.Task(), Attempt: a.Number, Machine: a.Machine.ID, State: state, Cause: a.ExitCause})
 }
 
 // SendOutcomes records that the outcomes are in a transaction that is being sent.
--- a/internal/leader/progress/committer.go
+++ b/internal/leader/progress/committer.go
@@ -94,11 +94,7 @@
 
 func (co *Committer) logOutcomesOf(c *cluster.Chunk) {
 	for _, outcome := range c.TakeStoredOutcomes() {
-		cause := string(outcome.Cause)
-		if cause == "" {
-			cause = "lost or not started"
-		}
-		co.Attempts.OutcomeStored(outcome.Task, outcome.Attempt, outcome.Machine, cause)
+		co.Attempts.OutcomeStored(outcome.Task, outcome.Attempt, outcome.Machine, outcome.String())
 	}
 }
 
--- a/internal/leader/reconcile/tasks.go
+++ b/internal/leader/reconcile/tasks.go
@@ -113,8 +113,7 @@
 	epochEnded := attempt.LaunchSent && heartbeat.Epoch > attempt.LaunchEpoch
 	startUnwanted := attempt.Stopping || attempt.Machine.DrainReason != "" || attempt.Job.Cancelled
 	ended := attempt.SeenInHeartbeat || attempt.Inherited || epochEnded || startUnwanted
-	if ended && attempt.Machine.DirectLaunchAcceptedWith(attempt.Task(), heartbeat.Token, heartbeat.Epoch) {
-		rc.Fencing.RaiseRequested = true // a copy of the launch could start the attempt after all
+	if ended && rc.copyMayStart(attempt, heartbeat) {
 		return
 	}
 	switch {
@@ -129,6 +128,20 @@
 	}
 }
 
+// copyMayStart reports whether a copy of a direct launch could start an attempt on the agent that
+// made this heartbeat. If the agent accepts it under the present token too, a higher one is
+// requested.
+func (rc *Reconciler) copyMayStart(attempt *cluster.Attempt, heartbeat *wire.Heartbeat) bool {
+	task, machine := attempt.Task(), attempt.Machine
+	if !machine.DirectLaunchAcceptedWith(task, heartbeat.Token, heartbeat.Epoch) {
+		return false
+	}
+	if machine.DirectLaunchAcceptedWith(task, rc.Fencing.Token, heartbeat.Epoch) {
+		rc.Fencing.RaiseRequested = true
+	}
+	return true
+}
+
 // prepareRelaunch clears the record of those launches of an attempt that did not take effect,
 // so that the attempt is launched again.
 func prepareRelaunch(attempt *cluster.Attempt) {
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -126,6 +126,7 @@
 func (t *term) run(parent context.Context) string {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
+	defer func() { t.Attempts.Flush(t.Fencing.Token) }()
 	t.startBackgroundWork(ctx)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
