--- a/review/.standin-2/cases.go
+++ b/review/.standin-2/cases.go
@@ -16,6 +16,7 @@
 }{
 	"copy-after-restart": {aarenfeldFleet, aarenfeldMachines, copyAfterRestart},
 	"copy-in-election":   {kowhaiFleet, kowhaiMachines, copyInElection},
+	"gang-over-limit":    {aarenfeldSmall, aarenfeldMachines, gangOverLimit},
 }
 
 // aarenfeldFleet are the settings of aarenfeld-meters-fleet.
@@ -52,11 +53,11 @@
 		Tasks: 1, CPUs: 1, MemoryGB: 4.8, Image: "img-ingest", ImageGB: 1, Spread: true}
 }
 
-// startAll starts the controllers, with three machines that are up already.
-func (w *world) startAll(bootTime time.Duration) {
+// startAll starts the controllers, with machines that are up already.
+func (w *world) startAll(machines int, bootTime time.Duration) {
 	w.mu.Lock()
 	w.bootTime = bootTime
-	for i := range 3 {
+	for i := range machines {
 		zone := w.settings.Zones[i%len(w.settings.Zones)]
 		w.newWorkerLocked(&w.specs[0], zone, false, 10*time.Minute).bootLocked()
 	}
@@ -124,7 +125,7 @@
 // copyAfterRestart: the machine that a task was moved from is back after a fraction of a second,
 // and a copy of the launch that it executed earlier follows, while the cloud's interface is down.
 func copyAfterRestart(w *world, trouble bool) {
-	w.startAll(35 * time.Second)
+	w.startAll(3, 35*time.Second)
 	task, first := w.movedTask(billing, ingest, 28*time.Second)
 	l := w.directLaunch(task, first.attempt)
 	if trouble {
@@ -178,7 +179,7 @@
 // of a second in the middle of the election, and a copy of the launch that it executed earlier
 // follows.
 func copyInElection(w *world, trouble bool) {
-	w.startAll(0)
+	w.startAll(3, 15*time.Second)
 	task, first := w.movedTask(solve, portal, 35*time.Second)
 	l := w.directLaunch(task, first.attempt)
 	if trouble {
