--- a/review/.standin-2/world.go
+++ b/review/.standin-2/world.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -77,9 +78,13 @@
 
 func giveUp(format string, args ...any) { panic(unplayable(fmt.Sprintf(format, args...))) }
 
+// host is the loopback address of this run. Runs at the same time have others, so that none takes a
+// port that another has found free.
+var host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
+
 // freeAddr returns a loopback address with a port that is free now.
 func freeAddr() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", host+":0")
 	if err != nil {
 		giveUp("no free port: %v", err)
 	}
@@ -114,7 +119,7 @@
 
 // serve serves a handler on a free port and returns its address.
 func serve(handler http.Handler) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", host+":0")
 	if err != nil {
 		giveUp("%v", err)
 	}
