--- a/review/.standin-2/worker.go
+++ b/review/.standin-2/worker.go
@@ -361,7 +361,8 @@
 	}
 }
 
-// startedLocked records that a task is on its machine from now on, and checks ran_twice.
+// startedLocked records that a task is on its machine from now on, and checks
+// ran_twice and ran_cancelled.
 func (m *worker) startedLocked(r *run) {
 	r.phase, r.onIt = wire.PhaseRunning, true
 	m.w.sayLocked("%s: %s runs", m.id, key(r.task, r.attempt))
@@ -372,6 +373,9 @@
 			}
 		}
 	}
+	if told, ok := m.w.cancelled[r.spec.ID]; ok && time.Since(told) > m.w.settings.Workers.CancelTimeout.Duration() {
+		m.w.breakLocked("ran_cancelled", "%s starts on %s %.1f s after its user was told that it is cancelled", key(r.task, r.attempt), m.id, time.Since(told).Seconds())
+	}
 	m.changedLocked()
 }
 
--- a/review/.standin-2/world.go
+++ b/review/.standin-2/world.go
@@ -47,7 +47,8 @@
 	cloudOutage bool
 	bootTime    time.Duration
 	jobs        map[wire.JobID]*job
-	launches    map[string]launch // by task and attempt: the direct request that carried the launch
+	cancelled   map[wire.JobID]time.Time // when users were told so first
+	launches    map[string]launch        // by task and attempt: the direct request that carried the launch
 	broken      []string
 	changed     chan struct{} // closed and replaced at every change of a task
 }
@@ -110,7 +111,7 @@
 		settings: settings, specs: specs, begin: time.Now(), dir: dir, program: program, record: file,
 		state:   simulator.NewKVStore(settings.State.TxnOps, int(settings.State.ValueKB)),
 		workers: map[wire.MachineID]*worker{}, bookings: map[string][]wire.MachineID{}, jobs: map[wire.JobID]*job{},
-		launches: map[string]launch{}, changed: make(chan struct{}),
+		cancelled: map[wire.JobID]time.Time{}, launches: map[string]launch{}, changed: make(chan struct{}),
 	}
 	w.state.SetRateLimits(settings.State.RPS, settings.State.WriteRPS)
 	w.writeConfigs(serve(w.state), serve(http.HandlerFunc(w.cloud)))
@@ -289,6 +290,23 @@
 	giveUp("%s is not accepted", spec.ID)
 }
 
+// cancel cancels a job, with retries at the controllers in turn, until that is confirmed.
+func (w *world) cancel(id wire.JobID) {
+	for try := range 60 {
+		n := w.nodes[try%len(w.nodes)]
+		status, answer := w.ask(n, http.MethodPost, "/v1/jobs/"+string(id)+"/cancel", nil, 5*time.Second)
+		w.say("user: POST /v1/jobs/%s/cancel at %s: %d %v", id, n.name, status, answer["status"])
+		if status == http.StatusOK && answer["status"] == string(wire.StatusCancelled) {
+			w.mu.Lock()
+			w.cancelled[id] = time.Now()
+			w.mu.Unlock()
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	giveUp("the cancellation of %s is not confirmed", id)
+}
+
 // longestRun is the longest time that a case may take.
 const longestRun = 115 * time.Second
 
