--- a/review/.standin-2/cases.go
+++ b/review/.standin-2/cases.go
@@ -179,7 +179,7 @@
 // of a second in the middle of the election, and a copy of the launch that it executed earlier
 // follows.
 func copyInElection(w *world, trouble bool) {
-	w.startAll(3, 15*time.Second)
+	w.startAll(0, 15*time.Second)
 	task, first := w.movedTask(solve, portal, 35*time.Second)
 	l := w.directLaunch(task, first.attempt)
 	if trouble {
@@ -189,7 +189,7 @@
 		}
 		w.say("the leader %s is killed", leader.name)
 		w.kill(leader)
-		time.AfterFunc(6*time.Second, func() { w.start(leader) })
+		w.startLater(leader, 6*time.Second)
 		time.Sleep(200 * time.Millisecond)
 		first.machine.restart(300 * time.Millisecond)
 		time.Sleep(200 * time.Millisecond)
@@ -202,17 +202,18 @@
 // in the middle of the election the task's machine is back after a fraction of a second and a copy
 // of the launch follows.
 func copyOfCancelled(w *world, trouble bool) {
-	w.startAll(1, 15*time.Second)
-	w.submit(portal(1), 0) // keeps its machine in use
-	array := solve(2)
-	array.CPUs, array.MemoryGB = 2, 5.7
-	w.submit(array, 35*time.Second)
+	w.startAll(0, 15*time.Second)
+	array, other := solve(1), solve(2) // the other keeps their machine in use
+	for _, spec := range []*wire.JobSpec{&array, &other} {
+		spec.CPUs, spec.MemoryGB = 2, 5.7
+		w.submit(*spec, 100*time.Second)
+	}
 	task := string(array.ID) + "/0"
 	var first launched
-	w.await("the array and the replica run", 40*time.Second, func() bool {
+	w.await("both arrays run on one machine", 40*time.Second, func() bool {
 		now := w.onMachinesLocked()
 		first = now[task]
-		return len(now) == 2
+		return len(now) == 2 && first.machine == now[string(other.ID)+"/0"].machine
 	})
 	l := w.directLaunch(task, first.attempt)
 	time.Sleep(time.Second)
@@ -225,7 +226,7 @@
 		}
 		w.say("the leader %s is killed", leader.name)
 		w.kill(leader)
-		time.AfterFunc(6*time.Second, func() { w.start(leader) })
+		w.startLater(leader, 6*time.Second)
 		time.Sleep(200 * time.Millisecond)
 		first.machine.restart(300 * time.Millisecond)
 		time.Sleep(200 * time.Millisecond)
--- a/review/.standin-2/cloud.go
+++ b/review/.standin-2/cloud.go
@@ -10,8 +10,8 @@
 	"lilaclead/internal/wire"
 )
 
-// cloudLatency is how long the cloud takes for an answer.
-const cloudLatency = 120 * time.Millisecond
+// cloudLatency is how long the cloud takes for an answer: the longer one of both sites.
+const cloudLatency = 250 * time.Millisecond
 
 // cloud serves the cloud's interface.
 func (w *world) cloud(rw http.ResponseWriter, r *http.Request) {
@@ -101,7 +101,7 @@
 			continue
 		}
 		state := wire.ListedStarting
-		if m.up {
+		if m.booted {
 			state = wire.ListedRunning
 		}
 		out.Machines = append(out.Machines, wire.ListedMachine{Name: m.id, Addr: m.addr, Type: m.spec.Name, Zone: m.zone, Spot: m.spot, State: state, Age: wire.Seconds(age.Seconds())})
--- a/review/.standin-2/worker.go
+++ b/review/.standin-2/worker.go
@@ -23,6 +23,7 @@
 	spot      bool
 	createdAt time.Time
 	up        bool
+	booted    bool // it has been up
 	gone      bool
 	stop      context.CancelFunc // ends the agent
 	ctx       context.Context
@@ -31,6 +32,7 @@
 	tally   wire.Sequence
 	baton   wire.FencingToken
 	renewed time.Time // when the last answered report was sent
+	tokenAt time.Time // when a higher token last counted as a change
 	tasks   []*run
 	images  map[wire.ImageID]bool
 	wake    chan struct{}
@@ -70,8 +72,9 @@
 		return
 	}
 	m.ctx, m.stop = context.WithCancel(context.Background())
+	m.booted = true
 	m.up, m.shift, m.tally, m.baton, m.renewed = true, 1, 0, 0, time.Now()
-	m.tasks, m.images, m.wake = nil, map[wire.ImageID]bool{}, make(chan struct{}, 1)
+	m.tokenAt, m.tasks, m.images, m.wake = time.Time{}, nil, map[wire.ImageID]bool{}, make(chan struct{}, 1)
 	ctx, server := m.ctx, &http.Server{Handler: http.HandlerFunc(m.serve)}
 	go func() { _ = server.Serve(listener) }()
 	go func() {
@@ -215,10 +218,14 @@
 	return resp.StatusCode, answer
 }
 
-// seeLocked stores a higher token.
+// seeLocked stores a higher token. It counts as a change at most once in half of a lease.
 func (m *worker) seeLocked(token wire.FencingToken) {
 	if token > m.baton {
 		m.baton = token
+		if time.Since(m.tokenAt) < m.w.settings.Workers.Lease.Duration()/2 {
+			return
+		}
+		m.tokenAt = time.Now()
 		m.changedLocked()
 	}
 }
--- a/review/.standin-2/world.go
+++ b/review/.standin-2/world.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -113,11 +114,24 @@
 		workers: map[wire.MachineID]*worker{}, bookings: map[string][]wire.MachineID{}, jobs: map[wire.JobID]*job{},
 		cancelled: map[wire.JobID]time.Time{}, launches: map[string]launch{}, changed: make(chan struct{}),
 	}
-	w.state.SetRateLimits(settings.State.RPS, settings.State.WriteRPS)
+	w.state.SetRateLimits(settings.State.RPS+keepGoing, settings.State.WriteRPS)
+	go w.endGrantsInTime()
 	w.writeConfigs(serve(w.state), serve(http.HandlerFunc(w.cloud)))
 	return w
 }
 
+// keepGoing is how many requests a second endGrantsInTime makes, beside those of the controllers.
+const keepGoing = 25
+
+// endGrantsInTime asks the state service for a key that does not exist, again and again: the stand-in
+// looks for grants that are over whenever it is asked for something, and may be 100 ms late.
+func (w *world) endGrantsInTime() {
+	for {
+		time.Sleep(time.Second / keepGoing)
+		w.state.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/kv/none", nil))
+	}
+}
+
 // serve serves a handler on a free port and returns its address.
 func serve(handler http.Handler) string {
 	l, err := net.Listen("tcp4", host+":0")
@@ -168,6 +182,20 @@
 	w.say("controller %s started", n.name)
 }
 
+// startLater starts a controller after a pause, as the platform does. If that fails, the case can't run.
+func (w *world) startLater(n *node, pause time.Duration) {
+	time.AfterFunc(pause, func() {
+		defer func() {
+			if r := recover(); r != nil {
+				w.say("the case could not run: %v", r)
+				w.close()
+				os.Exit(2)
+			}
+		}()
+		w.start(n)
+	})
+}
+
 // kill ends a controller without a signal that it could handle.
 func (w *world) kill(n *node) {
 	if n.process == nil {
