--- a/review/.standin-2/cases.go
+++ b/review/.standin-2/cases.go
@@ -17,6 +17,7 @@
 	"copy-after-restart": {aarenfeldFleet, aarenfeldMachines, copyAfterRestart},
 	"copy-in-election":   {kowhaiFleet, kowhaiMachines, copyInElection},
 	"copy-of-cancelled":  {kowhaiFleet, kowhaiMachines, copyOfCancelled},
+	"old-report":         {kowhaiFleet, kowhaiMachines, oldReportAfterElection},
 }
 
 // aarenfeldFleet are the settings of aarenfeld-meters-fleet.
@@ -234,3 +235,98 @@
 	}
 	time.Sleep(10 * time.Second)
 }
+
+// shortSolve is an array of solve-term with one task that takes half of a kereru.
+func shortSolve(n int) wire.JobSpec {
+	spec := solve(n)
+	spec.CPUs, spec.MemoryGB = 2, 5.7
+	return spec
+}
+
+// solveRound submits four arrays of one task and waits until all of them run.
+func (w *world) solveRound(first int, runTime time.Duration) {
+	tasks := []string{}
+	for n := first; n < first+4; n++ {
+		spec := shortSolve(n)
+		tasks = append(tasks, string(spec.ID)+"/0")
+		w.submit(spec, runTime)
+	}
+	w.awaitTasks("all four run", 40*time.Second, tasks...)
+}
+
+// awaitTasks waits until all of the tasks are on machines.
+func (w *world) awaitTasks(what string, limit time.Duration, tasks ...string) {
+	w.await(what, limit, func() bool {
+		now := w.onMachinesLocked()
+		for _, task := range tasks {
+			if now[task].machine == nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// awaitIdle waits until no task is on a machine.
+func (w *world) awaitIdle(limit time.Duration) {
+	w.await("no task runs", limit, func() bool { return len(w.onMachinesLocked()) == 0 })
+}
+
+// oldReportAfterElection: the leader ends and is back after a fraction of a second, and so is a machine in the middle
+// of the election. When its tasks run there again, a copy of a report that it sent before arrives at the leader.
+func oldReportAfterElection(w *world, trouble bool) {
+	w.startAll(0, 9*time.Second)
+	for _, first := range []int{1, 5} {
+		w.solveRound(first, 8*time.Second)
+		w.awaitIdle(30 * time.Second)
+	}
+	w.solveRound(9, 35*time.Second)
+	time.Sleep(4 * time.Second)
+	w.mu.Lock()
+	machine := w.onMachinesLocked()["req-000009/0"].machine
+	here, elsewhere := []string{}, []string{}
+	for task, on := range w.onMachinesLocked() {
+		if on.machine == machine {
+			here = append(here, task)
+		} else {
+			elsewhere = append(elsewhere, task)
+		}
+	}
+	report := machine.answered
+	w.mu.Unlock()
+	if len(here) != 2 || len(elsewhere) != 2 {
+		giveUp("%d of 4 tasks are on %s", len(here), machine.id)
+	}
+	if trouble {
+		leader := w.leader()
+		if leader == nil || report.to != leader {
+			giveUp("%s reports to %v, and the leader is %v", machine.id, report.to, leader)
+		}
+		w.say("the leader %s is killed", leader.name)
+		w.kill(leader)
+		w.startLater(leader, 300*time.Millisecond)
+		machine.restart(300 * time.Millisecond)
+		w.awaitTasks("the tasks run again", 20*time.Second, here...)
+		if w.leader() != leader {
+			giveUp("another controller leads")
+		}
+	}
+	time.Sleep(2 * time.Second)
+	w.submit(portal(13), 0)
+	w.awaitTasks("the replica runs", 20*time.Second, "req-000013/0")
+	w.cancel("req-000013")
+	w.awaitTasks("all tasks run again", 20*time.Second, append(here, elsewhere...)...)
+	time.Sleep(1500 * time.Millisecond)
+	w.cancel(wire.JobID(elsewhere[0][:len("req-000000")]))
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		w.mu.Lock()
+		reported := machine.tally
+		w.mu.Unlock()
+		if report.seq <= reported {
+			giveUp("%s has sent %d reports since it is back, and the old one was the %dth", machine.id, reported, report.seq)
+		}
+		w.deliverReport(report)
+	}
+	time.Sleep(8 * time.Second)
+}
--- a/review/.standin-2/worker.go
+++ b/review/.standin-2/worker.go
@@ -36,6 +36,8 @@
 	tasks   []*run
 	images  map[wire.ImageID]bool
 	wake    chan struct{}
+
+	answered sentReport // the last report that was answered 200
 }
 
 // run is an attempt of a task on a machine.
@@ -145,7 +147,8 @@
 		h, n := m.messageLocked(), w.nodes[target]
 		w.mu.Unlock()
 		sent := time.Now()
-		status, body := post(ctx, client, "http://"+n.front+"/hello", wire.Encode(h), 4*time.Second)
+		raw := wire.Encode(h)
+		status, body := post(ctx, client, "http://"+n.front+"/hello", raw, 4*time.Second)
 		w.mu.Lock()
 		if ctx.Err() != nil {
 			w.mu.Unlock()
@@ -157,6 +160,7 @@
 		var answer wire.Commands
 		if status == http.StatusOK && wire.Decode(body, &answer) == nil && h.Epoch == m.shift && answer.Token > 0 && answer.Token >= m.baton {
 			m.renewed = sent
+			m.answered = sentReport{n, h.Sequence, raw, fmt.Sprintf("%s %d/%d (baton %d, %d parts)", m.id, h.Epoch, h.Sequence, h.Token, len(h.Tasks))}
 			m.seeLocked(answer.Token)
 			m.executeLocked(answer.Commands, "in a response")
 		}
@@ -429,3 +433,19 @@
 	status, _ := post(context.Background(), &http.Client{}, "http://"+addr+"/commands", l.body, 4*time.Second)
 	w.say("the copy at %s: %d", l.machine, status)
 }
+
+// sentReport is a report that a worker sent to a controller.
+type sentReport struct {
+	to   *node
+	seq  wire.Sequence
+	body []byte
+	text string
+}
+
+// deliverReport delivers a copy of a report that was answered before, to the controller that it was
+// sent to.
+func (w *world) deliverReport(r sentReport) {
+	w.say("the network delivers a late copy of the earlier report %s to %s", r.text, r.to.name)
+	status, _ := post(context.Background(), &http.Client{}, "http://"+r.to.front+"/hello", r.body, 4*time.Second)
+	w.say("the copy at %s: %d", r.to.name, status)
+}
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 case_dir=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$case_dir/../.." || exit 2
 [ -x target/lilaclead ] && [ -x target/standin-2 ] || { echo "build first: deploy/service.toml, review/build-2.sh"; exit 2; }
-exec target/standin-2 copy-of-cancelled "$case_dir/record.txt"
+exec target/standin-2 copy-in-election "$case_dir/record.txt"
