--- a/review/.standin-2/cases.go
+++ b/review/.standin-2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"lilaclead/internal/config"
@@ -87,18 +88,23 @@
 	attempt wire.AttemptNumber
 }
 
-// movedTask fills the machines with arrays of one task and has a replica displace one of them. It returns where the displaced task was, and waits until it runs on another machine.
+// fleetSize is how many machines there are, so that one of them is a smaller share than the pages'
+// troubles take at a time.
+const fleetSize = 16
+
+// movedTask fills the machines with arrays of one task and has a replica displace one of them. It
+// returns where the displaced task was, and waits until it runs on another machine.
 func (w *world) movedTask(array, service func(n int) wire.JobSpec, runTime time.Duration) (task string, first launched) {
-	for n := range 3 {
+	for n := range fleetSize {
 		w.submit(array(n+1), runTime)
 	}
 	var before map[string]launched
-	w.await("three tasks run", 40*time.Second, func() bool {
+	w.await("a task runs on each machine", 40*time.Second, func() bool {
 		before = w.onMachinesLocked()
-		return len(before) == 3
+		return len(before) == fleetSize
 	})
 	time.Sleep(2 * time.Second)
-	w.submit(service(4), 0)
+	w.submit(service(fleetSize+1), 0)
 	w.await("a task was stopped and runs on another machine", 60*time.Second, func() bool {
 		for id, now := range w.onMachinesLocked() {
 			if was, ok := before[id]; ok && now.machine != was.machine {
@@ -126,7 +132,7 @@
 // copyAfterRestart: the machine that a task was moved from is back after a fraction of a second,
 // and a copy of the launch that it executed earlier follows, while the cloud's interface is down.
 func copyAfterRestart(w *world, trouble bool) {
-	w.startAll(3, 35*time.Second)
+	w.startAll(fleetSize, 35*time.Second)
 	task, first := w.movedTask(billing, ingest, 28*time.Second)
 	l := w.directLaunch(task, first.attempt)
 	if trouble {
@@ -204,21 +210,15 @@
 // of the launch follows.
 func copyOfCancelled(w *world, trouble bool) {
 	w.startAll(0, 15*time.Second)
-	array, other := solve(1), solve(2) // the other keeps their machine in use
-	for _, spec := range []*wire.JobSpec{&array, &other} {
-		spec.CPUs, spec.MemoryGB = 2, 5.7
-		w.submit(*spec, 100*time.Second)
-	}
-	task := string(array.ID) + "/0"
-	var first launched
-	w.await("both arrays run on one machine", 40*time.Second, func() bool {
-		now := w.onMachinesLocked()
-		first = now[task]
-		return len(now) == 2 && first.machine == now[string(other.ID)+"/0"].machine
-	})
+	tasks := w.solveRound(1, 100*time.Second)
+	task := tasks[0]
+	array := wire.JobID(strings.TrimSuffix(task, "/0"))
+	w.mu.Lock()
+	first := w.onMachinesLocked()[task]
+	w.mu.Unlock()
 	l := w.directLaunch(task, first.attempt)
 	time.Sleep(time.Second)
-	w.cancel(array.ID)
+	w.cancel(array)
 	time.Sleep(w.settings.Workers.CancelTimeout.Duration() + time.Second)
 	if trouble {
 		leader := w.leader()
@@ -243,15 +243,16 @@
 	return spec
 }
 
-// solveRound submits four arrays of one task and waits until all of them run.
-func (w *world) solveRound(first int, runTime time.Duration) {
+// solveRound submits arrays of one task that fill the machines, waits until all of them run, and returns their tasks.
+func (w *world) solveRound(first int, runTime time.Duration) []string {
 	tasks := []string{}
-	for n := first; n < first+4; n++ {
+	for n := first; n < first+2*fleetSize; n++ {
 		spec := shortSolve(n)
 		tasks = append(tasks, string(spec.ID)+"/0")
 		w.submit(spec, runTime)
 	}
-	w.awaitTasks("all four run", 40*time.Second, tasks...)
+	w.awaitTasks("all tasks of the round run", 40*time.Second, tasks...)
+	return tasks
 }
 
 // awaitTasks waits until all of the tasks are on machines.
@@ -276,27 +277,22 @@
 // of the election. When its tasks run there again, a copy of a report that it sent before arrives at the leader.
 func oldReportAfterElection(w *world, trouble bool) {
 	w.startAll(0, 9*time.Second)
-	for _, first := range []int{1, 5} {
-		w.solveRound(first, 8*time.Second)
+	for _, first := range []int{100, 200} {
+		w.solveRound(first, 12*time.Second)
 		w.awaitIdle(30 * time.Second)
 	}
-	w.solveRound(9, 35*time.Second)
+	tasks := w.solveRound(300, 35*time.Second)
 	time.Sleep(4 * time.Second)
 	w.mu.Lock()
-	machine := w.onMachinesLocked()["req-000009/0"].machine
-	here, elsewhere := []string{}, []string{}
-	for task, on := range w.onMachinesLocked() {
-		if on.machine == machine {
-			here = append(here, task)
-		} else {
-			elsewhere = append(elsewhere, task)
+	on := w.onMachinesLocked()
+	machine, elsewhere := on[tasks[0]].machine, ""
+	for _, task := range tasks {
+		if on[task].machine != machine {
+			elsewhere = task
 		}
 	}
 	report := machine.answered
 	w.mu.Unlock()
-	if len(here) != 2 || len(elsewhere) != 2 {
-		giveUp("%d of 4 tasks are on %s", len(here), machine.id)
-	}
 	if trouble {
 		leader := w.leader()
 		if leader == nil || report.to != leader {
@@ -306,18 +302,19 @@
 		w.kill(leader)
 		w.startLater(leader, 300*time.Millisecond)
 		machine.restart(300 * time.Millisecond)
-		w.awaitTasks("the tasks run again", 20*time.Second, here...)
+		w.awaitTasks("the tasks run again", 20*time.Second, tasks...)
 		if w.leader() != leader {
 			giveUp("another controller leads")
 		}
 	}
 	time.Sleep(2 * time.Second)
-	w.submit(portal(13), 0)
-	w.awaitTasks("the replica runs", 20*time.Second, "req-000013/0")
-	w.cancel("req-000013")
-	w.awaitTasks("all tasks run again", 20*time.Second, append(here, elsewhere...)...)
+	replica := portal(400)
+	w.submit(replica, 0)
+	w.awaitTasks("the replica runs", 20*time.Second, string(replica.ID)+"/0")
+	w.cancel(replica.ID)
+	w.awaitTasks("all tasks run again", 20*time.Second, tasks...)
 	time.Sleep(1500 * time.Millisecond)
-	w.cancel(wire.JobID(elsewhere[0][:len("req-000000")]))
+	w.cancel(wire.JobID(strings.TrimSuffix(elsewhere, "/0")))
 	time.Sleep(1500 * time.Millisecond)
 	if trouble {
 		w.mu.Lock()
--- a/review/.standin-2/worker.go
+++ b/review/.standin-2/worker.go
@@ -26,7 +26,8 @@
 	booted    bool // it has been up
 	gone      bool
 	stop      context.CancelFunc // ends the agent
-	ctx       context.Context
+	ctx       context.Context    // of the agent, or of the last one
+	back      chan struct{}      // closed while the machine has power
 
 	shift   wire.AgentEpoch
 	tally   wire.Sequence
@@ -58,7 +59,8 @@
 // newWorkerLocked adds a machine that is not up yet.
 func (w *world) newWorkerLocked(spec *wire.MachineSpec, zone wire.Zone, spot bool, age time.Duration) *worker {
 	w.created++
-	m := &worker{w: w, id: wire.MachineID(fmt.Sprintf("n-%06d", w.created)), addr: freeAddr(), spec: spec, zone: zone, spot: spot, createdAt: time.Now().Add(-age)}
+	m := &worker{w: w, id: wire.MachineID(fmt.Sprintf("n-%06d", w.created)), spec: spec, zone: zone, spot: spot, createdAt: time.Now().Add(-age), back: make(chan struct{})}
+	m.listen()
 	w.workers[m.id] = m
 	return m
 }
@@ -68,32 +70,42 @@
 	if m.gone {
 		return
 	}
-	listener, err := net.Listen("tcp4", m.addr)
-	if err != nil {
-		m.w.sayLocked("%s can't listen: %v", m.id, err)
-		return
-	}
 	m.ctx, m.stop = context.WithCancel(context.Background())
+	close(m.back)
 	m.booted = true
 	m.up, m.shift, m.tally, m.baton, m.renewed = true, 1, 0, 0, time.Now()
 	m.tokenAt, m.tasks, m.images, m.wake = time.Time{}, nil, map[wire.ImageID]bool{}, make(chan struct{}, 1)
-	ctx, server := m.ctx, &http.Server{Handler: http.HandlerFunc(m.serve)}
-	go func() { _ = server.Serve(listener) }()
-	go func() {
-		<-ctx.Done()
-		_ = server.Close()
-	}()
+	ctx := m.ctx
 	go m.report(ctx, m.wake)
 	go m.watchLease(ctx)
 	m.w.sayLocked("%s is up", m.id)
 }
 
-// haltLocked ends the agent and all tasks at once, as a power failure does.
+// agentKey is the key of a connection's context under which the agent's context is that accepted it.
+type agentKey struct{}
+
+// listen serves an address for the machine from now on, whichever agent is there.
+func (m *worker) listen() {
+	listener, err := net.Listen("tcp4", outside+":0")
+	if err != nil {
+		giveUp("no free port: %v", err)
+	}
+	m.addr = listener.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(m.serve), ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		m.w.mu.Lock()
+		defer m.w.mu.Unlock()
+		return context.WithValue(ctx, agentKey{}, m.ctx)
+	}}
+	go func() { _ = server.Serve(listener) }()
+}
+
+// haltLocked ends the agent and all tasks at once, as a power failure does. Without power the
+// machine is silent: requests to it get neither an answer nor an error.
 func (m *worker) haltLocked() {
 	if !m.up {
 		return
 	}
-	m.up = false
+	m.up, m.back = false, make(chan struct{})
 	m.killTasksLocked()
 	m.stop()
 }
@@ -259,13 +271,22 @@
 	}
 }
 
-// serve answers direct requests.
+// serve answers direct requests. A connection to an earlier agent is reset once the machine is back.
 func (m *worker) serve(rw http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	m.w.mu.Lock()
+	if agent := r.Context().Value(agentKey{}); agent != m.ctx || !m.up {
+		back := m.back
+		m.w.mu.Unlock()
+		select {
+		case <-back:
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	}
 	status := http.StatusOK
 	if r.URL.Path == "/commands" {
 		var request wire.Commands
--- a/review/.standin-2/world.go
+++ b/review/.standin-2/world.go
@@ -80,18 +80,27 @@
 
 func giveUp(format string, args ...any) { panic(unplayable(fmt.Sprintf(format, args...))) }
 
-// host is the loopback address of this run. Runs at the same time have others, so that none takes a
-// port that another has found free.
-var host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
+// host is the loopback address of the controllers of this run, outside that of everything around
+// them. Runs at the same time have others, so that nothing takes a port that was found free.
+var host, outside = loopback(1), loopback(126)
 
-// freeAddr returns a loopback address with a port that is free now.
-func freeAddr() string {
-	l, err := net.Listen("tcp4", host+":0")
-	if err != nil {
-		giveUp("no free port: %v", err)
+// loopback returns a loopback address with a random end. The second byte is first or up to 124 more.
+func loopback(first int) string {
+	return fmt.Sprintf("127.%d.%d.%d", first+rand.IntN(125), 1+rand.IntN(250), 1+rand.IntN(250))
+}
+
+// freeAddrs returns loopback addresses for the controllers, with ports that are free now.
+func freeAddrs(n int) []string {
+	addrs := []string{}
+	for range n {
+		l, err := net.Listen("tcp4", host+":0")
+		if err != nil {
+			giveUp("no free port: %v", err)
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addrs
 }
 
 // newWorld returns a deployment whose controllers are not started yet.
@@ -134,7 +143,7 @@
 
 // serve serves a handler on a free port and returns its address.
 func serve(handler http.Handler) string {
-	l, err := net.Listen("tcp4", host+":0")
+	l, err := net.Listen("tcp4", outside+":0")
 	if err != nil {
 		giveUp("%v", err)
 	}
@@ -144,9 +153,10 @@
 
 // writeConfigs writes the settings file of each controller.
 func (w *world) writeConfigs(state, cloud string) {
+	addrs := freeAddrs(2 * w.settings.Size)
 	for i := range w.settings.Size {
 		name := wire.NodeID(fmt.Sprintf("worker-%d", i))
-		w.nodes = append(w.nodes, &node{name: name, front: freeAddr(), peer: freeAddr(), file: filepath.Join(w.dir, string(name)+".toml")})
+		w.nodes = append(w.nodes, &node{name: name, front: addrs[2*i], peer: addrs[2*i+1], file: filepath.Join(w.dir, string(name)+".toml")})
 	}
 	zone := func(i int) wire.Zone { return w.settings.Zones[i%len(w.settings.Zones)] }
 	for i, n := range w.nodes {
