--- a/review/.standin-2/cases.go
+++ b/review/.standin-2/cases.go
@@ -129,8 +129,9 @@
 	return l
 }
 
-// copyAfterRestart: the machine that a task was moved from is back after a fraction of a second,
-// and a copy of the launch that it executed earlier follows, while the cloud's interface is down.
+// copyAfterRestart: the machine that a task was moved from is back after a fraction of a second. The
+// leader learns of it and asks the cloud to delete the machine, but the cloud's interface is down. A copy
+// of the launch that the machine executed earlier follows.
 func copyAfterRestart(w *world, trouble bool) {
 	w.startAll(fleetSize, 35*time.Second)
 	task, first := w.movedTask(billing, ingest, 28*time.Second)
@@ -142,10 +143,11 @@
 		w.say("the cloud's interface is down")
 		time.Sleep(time.Second)
 		first.machine.restart(300 * time.Millisecond)
-		time.Sleep(2 * time.Second)
+		w.await("the leader asks the cloud to delete the machine", 20*time.Second, func() bool { return w.unwanted[first.machine.id] })
+		time.Sleep(time.Second)
 		w.deliverCopy(l)
 	}
-	time.Sleep(15 * time.Second)
+	time.Sleep(12 * time.Second)
 	w.mu.Lock()
 	w.cloudOutage = false
 	w.mu.Unlock()
--- a/review/.standin-2/cloud.go
+++ b/review/.standin-2/cloud.go
@@ -24,6 +24,12 @@
 	defer w.mu.Unlock()
 	switch {
 	case w.cloudOutage:
+		var request wire.MachineNames
+		if r.URL.Path == "/machines/release" && wire.Decode(body, &request) == nil {
+			for _, id := range request.Machines {
+				w.unwanted[id] = true
+			}
+		}
 		w.sayLocked("cloud: %s %s: 503 trouble", r.Method, r.URL.Path)
 		wire.WriteResponse(rw, http.StatusServiceUnavailable, wire.ErrorBody{Error: "trouble"})
 	case r.URL.Path == "/flavors":
--- a/review/.standin-2/world.go
+++ b/review/.standin-2/world.go
@@ -46,6 +46,7 @@
 	created     int
 	bookings    map[string][]wire.MachineID
 	cloudOutage bool
+	unwanted    map[wire.MachineID]bool // machines that were to be deleted while the cloud was down
 	bootTime    time.Duration
 	jobs        map[wire.JobID]*job
 	cancelled   map[wire.JobID]time.Time // when users were told so first
@@ -121,7 +122,7 @@
 		settings: settings, specs: specs, begin: time.Now(), dir: dir, program: program, record: file,
 		state:   simulator.NewKVStore(settings.State.TxnOps, int(settings.State.ValueKB)),
 		workers: map[wire.MachineID]*worker{}, bookings: map[string][]wire.MachineID{}, jobs: map[wire.JobID]*job{},
-		cancelled: map[wire.JobID]time.Time{}, launches: map[string]launch{}, changed: make(chan struct{}),
+		cancelled: map[wire.JobID]time.Time{}, unwanted: map[wire.MachineID]bool{}, launches: map[string]launch{}, changed: make(chan struct{}),
 	}
 	w.state.SetRateLimits(settings.State.RPS+keepGoing, settings.State.WriteRPS)
 	go w.endGrantsInTime()
