A heartbeat with a lower token than its machine has shown is not newer

The leader and a machine are back within a fraction of a second, and a late copy of one of the machine's earlier reports arrives.

Cause: the leader took the report with the larger (epoch, sequence) for the newer one. That order holds for one agent only. A restarted machine has a new agent that counts from the start, and a leader that was elected in between does not know that there was another one. By the old list it took a task that runs there for lost. A report that an agent made later can't have a lower token, and nobody looked at that.

Change: wire.HeartbeatPosition holds epoch, sequence and token of a machine's last heartbeat and decides what is newer, for direct and relayed heartbeats, responses to commands and probes, and the heartbeats that a new leader keeps until it has read the records. A heartbeat that is newer by its sequence only is told apart by a probe that carries the heartbeat's own token: an agent that has not restarted refuses it and shows the higher token, a restarted one shows the lower one and counts as restarted. The machine's next real heartbeat has the present token and is handled as usual.

Two tests of the packages were adapted, and ask for as much as before: an inherited attempt is kept for a machine that has not shown a token of the term, so the fixture's machine has not shown one either; the position of a probe has a token.

--- a/internal/leader/agents/dispatcher.go
+++ b/internal/leader/agents/dispatcher.go
@@ -117,7 +117,7 @@
 // loop.
 func (dp *Dispatcher) sendCommands(machine *cluster.Machine, commands wire.Commands, launched []*cluster.Attempt) {
 	machine.CommandInFlight = true
-	addr, lastPosition := machine.Addr, positionOf(machine)
+	addr, lastPosition := machine.Addr, machine.HeartbeatPosition
 	dp.Spawn(func(ctx context.Context) {
 		heartbeat, status, err := dp.Client.Send(ctx, addr, commands, commandTimeout)
 		dp.Post(CommandOutcome{
--- a/internal/leader/agents/events.go
+++ b/internal/leader/agents/events.go
@@ -5,23 +5,11 @@
 	"lilaclead/internal/wire"
 )
 
-// HeartbeatPosition identifies a heartbeat of a machine. Heartbeats are ordered by epoch, then
-// by sequence number.
-type HeartbeatPosition struct {
-	Epoch    wire.AgentEpoch
-	Sequence wire.Sequence
-}
-
-// positionOf returns the position of the newest heartbeat of a machine.
-func positionOf(machine *cluster.Machine) HeartbeatPosition {
-	return HeartbeatPosition{Epoch: machine.Epoch, Sequence: machine.Sequence}
-}
-
 // CommandOutcome is the outcome of a request to an agent. It is an event of its own for a
 // request with commands, and part of ProbeOutcome for a probe.
 type CommandOutcome struct {
 	Machine             *cluster.Machine
-	LastHeartbeatBefore HeartbeatPosition // newest heartbeat known when the request was sent
+	LastHeartbeatBefore wire.HeartbeatPosition // newest heartbeat known when the request was sent
 	Commands            wire.Commands
 	Launched            []*cluster.Attempt // attempts whose launches are among the commands
 	Heartbeat           *wire.Heartbeat    // nil if Err is set
--- a/internal/leader/agents/probes.go
+++ b/internal/leader/agents/probes.go
@@ -20,12 +20,17 @@
 // refused only for its epoch is repeated once with the agent's epoch. The outcome is posted
 // to the term's loop.
 func (dp *Dispatcher) Probe(machine *cluster.Machine) {
+	dp.ProbeWithToken(machine, dp.Fencing.Token)
+}
+
+// ProbeWithToken is Probe with a given token.
+func (dp *Dispatcher) ProbeWithToken(machine *cluster.Machine, token wire.FencingToken) {
 	if machine.CommandInFlight || machine.Addr == "" {
 		return
 	}
 	machine.CommandInFlight = true
-	addr, lastPosition := machine.Addr, positionOf(machine)
-	probe := wire.Commands{Token: dp.Fencing.Token, Epoch: max(machine.Epoch, firstEpoch)}
+	addr, lastPosition := machine.Addr, machine.HeartbeatPosition
+	probe := wire.Commands{Token: token, Epoch: max(machine.Epoch, firstEpoch)}
 	relay := dp.relayFor(machine)
 	dp.Spawn(func(ctx context.Context) {
 		heartbeat, status, err := dp.Client.probeThrough(ctx, relay, addr, probe)
--- a/internal/leader/agents/probes_test.go
+++ b/internal/leader/agents/probes_test.go
@@ -48,7 +48,7 @@
 			if !ok || outcome.Err != nil || outcome.Status != tc.wantStatus || outcome.Heartbeat.Epoch != tc.epoch || outcome.Relayed {
 				t.Fatalf("outcome: got %+v, want status %d and epoch %d by a direct probe", outcome, tc.wantStatus, tc.epoch)
 			}
-			if want := (HeartbeatPosition{Epoch: 1, Sequence: 10}); outcome.LastHeartbeatBefore != want || probes != tc.wantProbes {
+			if want := (wire.HeartbeatPosition{Epoch: 1, Sequence: 10, Token: testToken}); outcome.LastHeartbeatBefore != want || probes != tc.wantProbes {
 				t.Errorf("got %d probes, last heartbeat before %+v, want %d, %+v", probes, outcome.LastHeartbeatBefore, tc.wantProbes, want)
 			}
 		})
--- a/internal/leader/cluster/machine.go
+++ b/internal/leader/cluster/machine.go
@@ -47,11 +47,11 @@
 // AgentProgress is the position of a machine's agent according to its heartbeats.
 // Reconciliation writes it.
 type AgentProgress struct {
-	Epoch       wire.AgentEpoch
-	Sequence    wire.Sequence
-	Token       wire.FencingToken // highest token that it has shown
-	TokenSeenAt time.Time         // when it first showed a token of this term
-	EpochSince  time.Time         // when its epoch became known
+	// HeartbeatPosition is that of the newest heartbeat. Its token is the highest one that the
+	// machine has shown.
+	wire.HeartbeatPosition
+	TokenSeenAt time.Time // when it first showed a token of this term
+	EpochSince  time.Time // when its epoch became known
 	// Restarted: the machine restarted and its agent counts epochs and sequences from the
 	// start again, so that its heartbeats can't be told from late copies of earlier ones.
 	// Such a machine is scaled in.
--- a/internal/leader/reachability_test.go
+++ b/internal/leader/reachability_test.go
@@ -125,6 +125,13 @@
 		if got := tm.reconciler.EarlyHeartbeats["n-1"]; got.Epoch != 2 {
 			t.Errorf("kept heartbeat: got %d/%d, want 2/5", got.Epoch, got.Sequence)
 		}
+		// A late copy of a heartbeat from before the machine's restart has a lower token.
+		sendHeartbeat(tm, heartbeatFrom(2, 50, tm.Fencing.Token-1))
+		sendHeartbeat(tm, heartbeatFrom(1, 3, tm.Fencing.Token+1))
+		sendHeartbeat(tm, heartbeatFrom(2, 50, tm.Fencing.Token))
+		if got := tm.reconciler.EarlyHeartbeats["n-1"]; got.Sequence != 3 {
+			t.Errorf("kept heartbeat: got %d/%d, want the one with the highest token", got.Epoch, got.Sequence)
+		}
 	})
 }
 
--- a/internal/leader/reconcile/answer.go
+++ b/internal/leader/reconcile/answer.go
@@ -23,7 +23,7 @@
 		machine.LastMessageAt, machine.LastResponseAt = now, now
 		return HeartbeatResponse{Commands: rc.stopsOfCancelled(heartbeat)}
 	}
-	if !heartbeat.IsNewerThan(machine.Epoch, machine.Sequence) {
+	if !machine.Precedes(heartbeat) {
 		return rc.onStaleHeartbeat(machine, heartbeat, now)
 	}
 	if machine.Restarted {
@@ -76,10 +76,11 @@
 	return &wire.Commands{Token: rc.Fencing.Token, Commands: rc.delegate.StopCommands(heartbeat)}
 }
 
-// keepEarlyHeartbeat keeps the newest heartbeat of a machine until the records are read.
+// keepEarlyHeartbeat keeps the newest heartbeat of a machine until the records are read: the one
+// with the highest token, and the newest of these by epoch and sequence.
 func (rc *Reconciler) keepEarlyHeartbeat(heartbeat *wire.Heartbeat) {
 	earlier, ok := rc.EarlyHeartbeats[heartbeat.Machine]
-	if !ok || heartbeat.IsNewerThan(earlier.Epoch, earlier.Sequence) {
+	if !ok || heartbeat.Token > earlier.Token || earlier.Position().Precedes(heartbeat) {
 		rc.EarlyHeartbeats[heartbeat.Machine] = *heartbeat
 	}
 }
@@ -127,12 +128,11 @@
 // within crossingWindow, and rejected after it.
 func (rc *Reconciler) onStaleHeartbeat(machine *cluster.Machine, heartbeat *wire.Heartbeat, now time.Time) HeartbeatResponse {
 	inCrossingWindow := now.Sub(machine.LastMessageAt) < crossingWindow
-	justBehind := heartbeat.Epoch == machine.Epoch && heartbeat.Sequence+maxCrossedSequences >= machine.Sequence
-	crossedResponse := inCrossingWindow && justBehind
+	crossedResponse := inCrossingWindow && justBehind(machine, heartbeat)
 	mayProbe := now.Sub(machine.LastVerifiedAt) > staleProbeInterval && !machine.ScalingIn
 	if !crossedResponse && mayProbe && rc.Lease.Deciding() {
 		machine.LastVerifiedAt = now
-		rc.dispatcher.Probe(machine)
+		rc.probeStale(machine, heartbeat)
 	}
 	if !inCrossingWindow {
 		return HeartbeatResponse{Rejected: errStaleHeartbeat}
@@ -141,6 +141,24 @@
 	return HeartbeatResponse{Commands: rc.stopsOfCancelled(heartbeat)}
 }
 
+// justBehind reports whether a heartbeat is as little older than the last known one as one that
+// crossed the response to a direct command.
+func justBehind(machine *cluster.Machine, heartbeat *wire.Heartbeat) bool {
+	older := !heartbeat.IsNewerThan(machine.Epoch, machine.Sequence)
+	return older && heartbeat.Epoch == machine.Epoch && heartbeat.Sequence+maxCrossedSequences >= machine.Sequence
+}
+
+// probeStale probes a machine because of a heartbeat that is not newer than the last known one. If
+// only its token is lower, the probe carries that token: an agent that has not restarted refuses it
+// and shows the token that it has, and one that has restarted shows the lower one.
+func (rc *Reconciler) probeStale(machine *cluster.Machine, heartbeat *wire.Heartbeat) {
+	if heartbeat.IsNewerThan(machine.Epoch, machine.Sequence) {
+		rc.dispatcher.ProbeWithToken(machine, max(heartbeat.Token, wire.MinToken))
+		return
+	}
+	rc.dispatcher.Probe(machine)
+}
+
 // renewalWithheld reports whether the machine's lease must not be renewed: a direct launch of
 // a cancelled task that the heartbeat does not show may still be on its way there. Only the
 // end of the agent's epoch, or a higher token than the launch's, keeps that launch from taking
--- a/internal/leader/reconcile/command_answers.go
+++ b/internal/leader/reconcile/command_answers.go
@@ -83,12 +83,12 @@
 
 // onCommandAnswered reconciles the heartbeat in the response to a command.
 func (rc *Reconciler) onCommandAnswered(outcome *agents.CommandOutcome, now time.Time) {
-	machine, heartbeat, known := outcome.Machine, outcome.Heartbeat, outcome.LastHeartbeatBefore
+	machine, heartbeat := outcome.Machine, outcome.Heartbeat
 	rc.onDelivery(machine)
 	machine.LastMessageAt = now
-	if !heartbeat.IsNewerThan(known.Epoch, known.Sequence) && !machine.Restarted {
-		// The response was made after the command was sent, and yet it is not newer than the
-		// last heartbeat known then.
+	if !outcome.LastHeartbeatBefore.Precedes(heartbeat) && !machine.Restarted {
+		// The response was made after the command was sent, and yet it can't be of the agent that
+		// made the last heartbeat known then.
 		rc.onRestart(machine, heartbeat, now)
 		return
 	}
--- a/internal/leader/reconcile/command_answers_test.go
+++ b/internal/leader/reconcile/command_answers_test.go
@@ -41,7 +41,7 @@
 			f.machine.CommandInFlight, f.machine.HeartbeatsMissingSince = true, time.Now()
 			f.OnCommandOutcome(agents.CommandOutcome{
 				Machine:             f.machine,
-				LastHeartbeatBefore: agents.HeartbeatPosition{Epoch: 1, Sequence: 10},
+				LastHeartbeatBefore: wire.HeartbeatPosition{Epoch: 1, Sequence: 10},
 				Commands:            wire.Commands{Token: testToken, Epoch: 1},
 				Launched:            []*cluster.Attempt{f.attempt},
 				Heartbeat:           tc.heartbeat,
@@ -80,7 +80,7 @@
 	f.attempt.LaunchSent, f.attempt.SeenInHeartbeat = true, true
 	f.OnCommandOutcome(agents.CommandOutcome{
 		Machine:             f.machine,
-		LastHeartbeatBefore: agents.HeartbeatPosition{Epoch: 1, Sequence: 10},
+		LastHeartbeatBefore: wire.HeartbeatPosition{Epoch: 1, Sequence: 10},
 		Commands:            wire.Commands{Token: testToken, Epoch: 1},
 		Heartbeat:           heartbeat(1, 2, testToken),
 		Status:              http.StatusOK,
@@ -102,7 +102,7 @@
 	f.machine.Sequence = 15 // heartbeats came in while the command was in flight
 	f.OnCommandOutcome(agents.CommandOutcome{
 		Machine:             f.machine,
-		LastHeartbeatBefore: agents.HeartbeatPosition{Epoch: 1, Sequence: 10},
+		LastHeartbeatBefore: wire.HeartbeatPosition{Epoch: 1, Sequence: 10},
 		Commands:            wire.Commands{Token: testToken, Epoch: 1},
 		Heartbeat:           heartbeat(1, 12, testToken),
 		Status:              http.StatusOK,
--- a/internal/leader/reconcile/direct_launch_test.go
+++ b/internal/leader/reconcile/direct_launch_test.go
@@ -54,7 +54,7 @@
 	f.attempt.SeenInHeartbeat = true
 	f.OnCommandOutcome(agents.CommandOutcome{
 		Machine:             f.machine,
-		LastHeartbeatBefore: agents.HeartbeatPosition{Epoch: 1, Sequence: 10},
+		LastHeartbeatBefore: wire.HeartbeatPosition{Epoch: 1, Sequence: 10},
 		Commands:            wire.Commands{Token: testToken, Epoch: 1},
 		Heartbeat:           heartbeat(1, 2, testToken),
 		Status:              200,
--- a/internal/leader/reconcile/heartbeat.go
+++ b/internal/leader/reconcile/heartbeat.go
@@ -12,7 +12,7 @@
 // does nothing and returns false if the heartbeat is not newer than the last known one, or if the
 // machine is marked as restarted.
 func (rc *Reconciler) Reconcile(machine *cluster.Machine, heartbeat *wire.Heartbeat, sentByAgent bool, now time.Time) bool {
-	if !heartbeat.IsNewerThan(machine.Epoch, machine.Sequence) || machine.Restarted {
+	if !machine.Precedes(heartbeat) || machine.Restarted {
 		return false
 	}
 	rc.state.ZoneDetector.RecordMessage(heartbeat.Zone, sentByAgent, now)
@@ -100,7 +100,7 @@
 	rc.Log.Info("machine restarted", "machine", machine.ID, "tasks", len(machine.Attempts),
 		"epoch", heartbeat.Epoch, "sequence", heartbeat.Sequence,
 		"previous_epoch", machine.Epoch, "previous_sequence", machine.Sequence)
-	machine.Epoch, machine.Sequence, machine.Images = 0, 0, cluster.ImageCache{}
+	machine.HeartbeatPosition, machine.Images = wire.HeartbeatPosition{}, cluster.ImageCache{}
 	for _, attempt := range machine.Attempts {
 		attempt.ResponseSequence = 0 // the response that carried the launch went to the machine before its restart
 	}
--- a/internal/leader/reconcile/missing_attempts_test.go
+++ b/internal/leader/reconcile/missing_attempts_test.go
@@ -59,7 +59,7 @@
 	}{
 		{"not stored", func(f *fixture) { f.attempt.Unstored = true }, heartbeat(1, 12, testToken), false, attemptKept},
 		{"seen before", func(f *fixture) { f.attempt.SeenInHeartbeat = true }, heartbeat(1, 12, testToken), false, attemptLost},
-		{"inherited, the earlier leader's token still accepted", func(f *fixture) { f.attempt.Inherited = true }, heartbeat(1, 12, testToken-1), false, attemptKept},
+		{"inherited, the earlier leader's token still accepted", func(f *fixture) { f.attempt.Inherited, f.machine.Token = true, testToken-1 }, heartbeat(1, 12, testToken-1), false, attemptKept},
 		{"inherited, a token of this term is shown", func(f *fixture) { f.attempt.Inherited = true }, heartbeat(1, 12, testToken), false, attemptLost},
 		{"direct launch in flight", inFlight, heartbeat(1, 12, testToken), false, attemptKept},
 		{"direct launch in flight, a newer epoch", inFlight, heartbeat(2, 1, testToken), false, attemptLost},
--- a/internal/wire/ids.go
+++ b/internal/wire/ids.go
@@ -32,6 +32,9 @@
 	Sequence uint64
 )
 
+// MinToken is the lowest token that a command may carry. An agent that has seen none yet shows 0.
+const MinToken FencingToken = 1
+
 const (
 	jobIDPrefix    = "req-"
 	maxJobIDDigits = 32
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -59,6 +59,27 @@
 	return h.Epoch > epoch || h.Epoch == epoch && h.Sequence > sequence
 }
 
+// HeartbeatPosition is the place of a heartbeat among those of its machine. The zero value precedes
+// all heartbeats.
+type HeartbeatPosition struct {
+	Epoch    AgentEpoch
+	Sequence Sequence
+	Token    FencingToken // highest token that the agent had seen
+}
+
+// Position returns the heartbeat's position.
+func (h *Heartbeat) Position() HeartbeatPosition {
+	return HeartbeatPosition{Epoch: h.Epoch, Sequence: h.Sequence, Token: h.Token}
+}
+
+// Precedes reports whether a heartbeat is newer than the one at the position. The order of epochs
+// and sequence numbers holds for one agent only: a machine that restarts has a new agent, which
+// counts from the start. But no agent shows a lower token than before. A heartbeat with a lower
+// token is therefore a late copy, or of an agent that has restarted since.
+func (p HeartbeatPosition) Precedes(heartbeat *Heartbeat) bool {
+	return heartbeat.Token >= p.Token && heartbeat.IsNewerThan(p.Epoch, p.Sequence)
+}
+
 // Verb says what a command tells an agent to do.
 type Verb string
 
