A leader fences a restarted machine

A machine restarts and can't be returned, since the cloud is down. A late copy of an earlier launch starts an attempt there that had ended before the restart, while the task runs elsewhere (ran_twice), until the machine is deleted or its lease is over.

Cause: that a copy of a direct launch does nothing rests on what the agent remembers, an exit that it lists or a higher token. A restart takes both. The leader recognised the restart by a probe with its own token, the launch's, showed the machine no other from then on, and looked at none of its reports.

Change: the leader fences such a machine at once (Client.Fence): it shows the machine its token plus one and stops what runs there. A token is the revision of the leader's key, so that this is above all tokens of launches and not above the leader's next token or a successor's. It needs no write, and the leader does not use the machine any more. Attempts that the fenced machine lacks are lost at once; until now they waited for its return. Each later report of the machine is checked: if it still accepts the term's launches or runs a task, it is fenced again.

The same cause on related paths: a machine that was being returned already was not probed when its reports were stale, nor any machine while the store was down, so that the restart was not recognised at all. Both are probed now. A machine whose restart is recognised during an outage of the store is scaled in after it.

--- a/internal/leader/agents/client.go
+++ b/internal/leader/agents/client.go
@@ -105,6 +105,17 @@
 // Unwrap returns the decoding error, nil if there was none.
 func (e *RelayError) Unwrap() error { return e.Err }
 
+// WrongMachineError means that another machine answers at an address than the one that was asked.
+type WrongMachineError struct {
+	Addr      string
+	Want, Got wire.MachineID
+}
+
+// Error names the address and both machines.
+func (e *WrongMachineError) Error() string {
+	return fmt.Sprintf("agent at %s is of machine %s, not of %s", e.Addr, e.Got, e.Want)
+}
+
 // ProbeThroughPeer probes the agent at an address through another controller. It returns the
 // agent's heartbeat and the HTTP status of the response.
 func (c *Client) ProbeThroughPeer(ctx context.Context, relay wire.NodeID, addr string, probe wire.Commands) (*wire.Heartbeat, int, error) {
--- a/internal/leader/agents/doc.go
+++ b/internal/leader/agents/doc.go
@@ -27,6 +27,14 @@
 // machines. A response to a heartbeat is never delivered again, so that attempts that were only
 // launched in that way are forgotten at once.
 //
+// # Restarted machines
+//
+// A machine that restarts loses both the exits that it listed and the token that it had seen, and
+// accepts copies of earlier launches again. It is fenced: it is shown a token above all under which
+// launches were sent, and its tasks are stopped. One more than the last leader's token is enough,
+// and a later leader has at least that. A leader fences a machine that it has recognised as
+// restarted, and returns it to the cloud.
+//
 // # What a probe proves
 //
 // The response to a probe proves that the machine is alive and has seen this leader's token,
--- a/internal/leader/agents/heartbeat_answers.go
+++ b/internal/leader/agents/heartbeat_answers.go
@@ -78,8 +78,7 @@
 		switch {
 		case dp.State.IsQuarantined(task.Job): // its record may be one that can't be decoded
 		case status.Phase != wire.PhaseExited:
-			noGracePeriod := wire.Seconds(0)
-			commands = append(commands, wire.Command{Verb: wire.VerbStop, Task: status.Task, Attempt: status.Attempt, GracePeriod: &noGracePeriod})
+			commands = append(commands, stopAtOnce(status))
 		case dp.mayForget(machine, task, heartbeat):
 			commands = append(commands, wire.Command{Verb: wire.VerbForget, Task: status.Task, Attempt: status.Attempt})
 			dp.Attempts.ForgetOrdered(status.Task, status.Attempt, machine.ID, dp.forgetGround(task))
--- a/internal/leader/cluster/machine.go
+++ b/internal/leader/cluster/machine.go
@@ -90,6 +90,7 @@
 // commands, the term's loop and reconciliation write it.
 type CommandDelivery struct {
 	CommandInFlight    bool // a direct command is under way
+	FenceInFlight      bool // a request that fences the restarted machine is under way
 	UnansweredCommands int  // direct commands without a response since LastMessageAt
 	// LastRelayUnanswered: the last probe was relayed by another node and had no response.
 	LastRelayUnanswered bool
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -34,6 +34,8 @@
 		t.reconciler.OnCommandOutcome(e)
 	case agents.ProbeOutcome:
 		t.onProbeOutcome(e)
+	case agents.FenceOutcome:
+		t.reconciler.OnFenceOutcome(e)
 	case autoscaler.ScaleOutsRecorded:
 		t.scaler.OnScaleOutsRecorded(e.Requests, e.Err)
 	case autoscaler.ScaleOutAnswered:
--- a/internal/leader/liveness/monitor.go
+++ b/internal/leader/liveness/monitor.go
@@ -86,6 +86,10 @@
 		mo.Scaler.ScaleIn(machine, cluster.DrainFailedInCloud)
 		return
 	}
+	if machine.Restarted { // recognised without the key-value store
+		mo.Scaler.ScaleIn(machine, cluster.DrainRestarted)
+		return
+	}
 	verdict := mo.verdictOn(machine, counts, now)
 	if verdict.unresponsive() {
 		mo.probeUnresponsive(machine, now)
--- a/internal/leader/reconcile/answer.go
+++ b/internal/leader/reconcile/answer.go
@@ -23,12 +23,12 @@
 		machine.LastMessageAt, machine.LastResponseAt = now, now
 		return HeartbeatResponse{Commands: rc.stopsOfCancelled(heartbeat)}
 	}
+	if machine.Restarted {
+		return rc.rejectRestarted(machine, heartbeat)
+	}
 	if !machine.Precedes(heartbeat) {
 		return rc.onStaleHeartbeat(machine, heartbeat, now)
 	}
-	if machine.Restarted {
-		return HeartbeatResponse{Rejected: errMachineRestarted}
-	}
 	if rc.recordHeartbeatPath(machine, relayed, now) {
 		return HeartbeatResponse{Redirect: true}
 	}
@@ -129,8 +129,7 @@
 func (rc *Reconciler) onStaleHeartbeat(machine *cluster.Machine, heartbeat *wire.Heartbeat, now time.Time) HeartbeatResponse {
 	inCrossingWindow := now.Sub(machine.LastMessageAt) < crossingWindow
 	crossedResponse := inCrossingWindow && justBehind(machine, heartbeat)
-	mayProbe := now.Sub(machine.LastVerifiedAt) > staleProbeInterval && !machine.ScalingIn
-	if !crossedResponse && mayProbe && rc.Lease.Deciding() {
+	if !crossedResponse && now.Sub(machine.LastVerifiedAt) > staleProbeInterval {
 		machine.LastVerifiedAt = now
 		rc.probeStale(machine, heartbeat)
 	}
--- a/internal/leader/reconcile/heartbeat.go
+++ b/internal/leader/reconcile/heartbeat.go
@@ -15,6 +15,12 @@
 	if !machine.Precedes(heartbeat) || machine.Restarted {
 		return false
 	}
+	rc.apply(machine, heartbeat, sentByAgent, now)
+	return true
+}
+
+// apply updates the state by a heartbeat that is newer than the last known one.
+func (rc *Reconciler) apply(machine *cluster.Machine, heartbeat *wire.Heartbeat, sentByAgent bool, now time.Time) {
 	rc.state.ZoneDetector.RecordMessage(heartbeat.Zone, sentByAgent, now)
 	if machine.FirstHeartbeatAt.IsZero() {
 		machine.FirstHeartbeatAt = now
@@ -34,7 +40,6 @@
 			rc.onMissingAttempt(attempt, heartbeat)
 		}
 	}
-	return true
 }
 
 // recordHeartbeatGap records since when a machine has only answered direct commands, and sent
@@ -91,21 +96,3 @@
 	}
 	machine.ReclaimAt = now.Add(remaining)
 }
-
-// onRestart handles a response which shows that the machine has restarted, before its absence
-// was noticed, and numbers its heartbeats from the start again. The tasks that the response
-// lacks are lost. The machine is scaled in, since from now on its heartbeats can't be told from
-// late copies of those before the restart.
-func (rc *Reconciler) onRestart(machine *cluster.Machine, heartbeat *wire.Heartbeat, now time.Time) {
-	rc.Log.Info("machine restarted", "machine", machine.ID, "tasks", len(machine.Attempts),
-		"epoch", heartbeat.Epoch, "sequence", heartbeat.Sequence,
-		"previous_epoch", machine.Epoch, "previous_sequence", machine.Sequence)
-	machine.HeartbeatPosition, machine.Images = wire.HeartbeatPosition{}, cluster.ImageCache{}
-	for _, attempt := range machine.Attempts {
-		attempt.ResponseSequence = 0 // the response that carried the launch went to the machine before its restart
-	}
-	rc.drain(machine, cluster.DrainRestarted)
-	rc.Reconcile(machine, heartbeat, false, now)
-	machine.Restarted = true
-	rc.scaler.ScaleIn(machine, cluster.DrainRestarted)
-}
--- a/internal/leader/reconcile/restart_test.go
+++ b/internal/leader/reconcile/restart_test.go
@@ -1,6 +1,7 @@
 package reconcile
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -58,3 +59,70 @@
 		}
 	}
 }
+
+// withAddr adds an address to a heartbeat, so that its machine can be asked.
+func withAddr(heartbeat *wire.Heartbeat) *wire.Heartbeat {
+	heartbeat.Addr = "10.0.0.9:9000"
+	return heartbeat
+}
+
+// restart has the fixture's machine recognised as restarted, and returns as soon as it is to be fenced.
+func (f *fixture) restart(t *testing.T) {
+	t.Helper()
+	f.onRestart(f.machine, withAddr(heartbeat(1, 2, testToken)), time.Now())
+	if !f.machine.Restarted || !f.machine.FenceInFlight || f.Fencing.RaiseRequested {
+		t.Fatalf("restarted %v, fence in flight %v, higher token requested %v; want true, true, false", f.machine.Restarted, f.machine.FenceInFlight, f.Fencing.RaiseRequested)
+	}
+}
+
+// Guards against tasks that wait for the return of their restarted machine: once it is fenced, no copy
+// can start them there.
+func TestTasksOfRestartedMachineAreLostOnceItIsFenced(t *testing.T) {
+	cases := []struct {
+		name     string
+		outcome  agents.FenceOutcome
+		wantLost bool
+	}{
+		{"fenced", agents.FenceOutcome{Heartbeat: heartbeat(1, 3, testToken+1)}, true},
+		{"not reached", agents.FenceOutcome{Err: errors.New("refused")}, false},
+		{"the epoch was another one each time", agents.FenceOutcome{Heartbeat: heartbeat(1, 5, testToken)}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.launchDirectly()
+			f.attempt.SeenInHeartbeat = true
+			f.restart(t)
+			tc.outcome.Machine = f.machine
+			f.OnFenceOutcome(tc.outcome)
+			if lost := f.job.ActiveTasks == 0; lost != tc.wantLost || f.machine.FenceInFlight {
+				t.Errorf("task lost %v, fence in flight %v; want %v, false", lost, f.machine.FenceInFlight, tc.wantLost)
+			}
+		})
+	}
+}
+
+func TestRestartedMachineIsFencedAgainWhenItsHeartbeatsDemandIt(t *testing.T) {
+	cases := []struct {
+		name      string
+		heartbeat *wire.Heartbeat
+		want      bool
+	}{
+		{"fenced", heartbeat(1, 4, testToken+1), false},
+		{"fenced, a task has exited", heartbeat(1, 4, testToken+1, attemptStatus(wire.PhaseExited, wire.CauseStopped)), false},
+		{"accepts launches of this term", heartbeat(1, 4, testToken), true},
+		{"restarted again", heartbeat(1, 1, 0), true},
+		{"runs a task", heartbeat(1, 4, testToken+1, attemptStatus(wire.PhaseFetching, "")), true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.restart(t)
+			f.OnFenceOutcome(agents.FenceOutcome{Machine: f.machine, Heartbeat: withAddr(heartbeat(1, 3, testToken+1))})
+			response := f.answerHeartbeat(tc.heartbeat, false, time.Now())
+			if !errors.Is(response.Rejected, errMachineRestarted) || f.machine.FenceInFlight != tc.want {
+				t.Errorf("got %+v, fence in flight %v; want a rejection, %v", response, f.machine.FenceInFlight, tc.want)
+			}
+		})
+	}
+}
--- a/internal/leader/reconcile/tasks.go
+++ b/internal/leader/reconcile/tasks.go
@@ -130,13 +130,13 @@
 
 // copyMayStart reports whether a copy of a direct launch could start an attempt on the agent that
 // made this heartbeat. If the agent accepts it under the present token too, a higher one is
-// requested.
+// requested, unless the machine has restarted and is fenced instead.
 func (rc *Reconciler) copyMayStart(attempt *cluster.Attempt, heartbeat *wire.Heartbeat) bool {
 	task, machine := attempt.Task(), attempt.Machine
 	if !machine.DirectLaunchAcceptedWith(task, heartbeat.Token, heartbeat.Epoch) {
 		return false
 	}
-	if machine.DirectLaunchAcceptedWith(task, rc.Fencing.Token, heartbeat.Epoch) {
+	if !machine.Restarted && machine.DirectLaunchAcceptedWith(task, rc.Fencing.Token, heartbeat.Epoch) {
 		rc.Fencing.RaiseRequested = true
 	}
 	return true
--- a/internal/scenarios/machine_restart_test.go
+++ b/internal/scenarios/machine_restart_test.go
@@ -55,6 +55,83 @@
 	})
 }
 
+// movedTask has urgent tasks displace tasks of a job on machines that are all in use, and waits until one
+// of these runs on another machine, which a cancelled job has left. It returns the job and the machine
+// that the task was on. Nothing else is to be run on that machine, once the urgent tasks have ended.
+func movedTask(t *testing.T, sim *simulator.Simulation, displacingSeconds float64) (job simulator.JobScript, from wire.MachineID) {
+	t.Helper()
+	cancelled, job, displacing := array(10, 4, 300), array(11, 8, 120), array(12, 4, displacingSeconds)
+	cancelled.Spec.Priority, displacing.Spec.Priority = wire.PriorityUrgent, wire.PriorityUrgent
+	submitAll(sim, cancelled, job)
+	waitUntil(t, 90*time.Second, "all tasks run", func() bool {
+		return tasksOnMachines(sim, job.Spec.ID) == job.Spec.Tasks && tasksOnMachines(sim, cancelled.Spec.ID) == cancelled.Spec.Tasks
+	})
+	before := sim.TaskMachines(job.Spec.ID)
+	sim.LimitCapacity(0)
+	sim.Submit(displacing, 0)
+	waitUntil(t, 30*time.Second, "the urgent tasks run", func() bool { return tasksOnMachines(sim, displacing.Spec.ID) == displacing.Spec.Tasks })
+	mustCancel(t, sim, cancelled)
+	waitUntil(t, 30*time.Second, "a displaced task runs on another machine", func() bool {
+		for task, machine := range sim.TaskMachines(job.Spec.ID) {
+			if before[task] != machine {
+				from = before[task]
+				return true
+			}
+		}
+		return false
+	})
+	return job, from
+}
+
+// deliverLaunchesAgain delivers copies of all direct launches that a machine has executed.
+func deliverLaunchesAgain(t *testing.T, sim *simulator.Simulation, machine wire.MachineID) {
+	t.Helper()
+	if sim.DeliverRecordedLaunches(machine) == 0 {
+		t.Errorf("%s was sent no direct launches, want some to copy", machine)
+	}
+}
+
+// Guards against ran_twice: a machine restarts while it can't be returned, and copies of launches
+// arrive whose attempts had ended there before. The leader that has recognised the restart fences it.
+func TestCopyOfLaunchAfterRecognisedRestartStartsNothing(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name              string
+		displacingSeconds float64
+		fault             func(sim *simulator.Simulation, on bool)
+	}{
+		{"cloud down", 120, func(sim *simulator.Simulation, on bool) { sim.SetCloudOutage(on) }},
+		{"key-value store down", 120, func(sim *simulator.Simulation, on bool) { sim.State.SetOutage(on) }},
+		{"idle and being returned already", 20, func(sim *simulator.Simulation, on bool) {
+			sim.SetCloudOutage(on)
+			if on {
+				time.Sleep(47 * time.Second) // an idle machine is returned a minute after it was requested
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, 644, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
+				sim.RecordLaunches()
+				sleepUntil(2 * time.Second)
+				job, machine := movedTask(t, sim, tc.displacingSeconds)
+				tc.fault(sim, true)
+				time.Sleep(time.Second)
+				sim.RestartMachine(machine)
+				time.Sleep(1500 * time.Millisecond)
+				deliverLaunchesAgain(t, sim, machine)
+				time.Sleep(10 * time.Second)
+				tc.fault(sim, false)
+				sim.SetCapacity(8)
+				markFaultsOver(sim)
+				time.Sleep(400 * time.Second)
+				mustFinish(t, sim, job)
+			})
+		})
+	}
+}
+
 // runsTaskOf reports whether a machine runs a task of a job.
 func runsTaskOf(sim *simulator.Simulation, machine wire.MachineID, job simulator.JobScript) bool {
 	return slices.Contains(sim.MachinesRunning(job.Spec.ID), machine)
--- a/internal/simulator/command_copies.go
+++ b/internal/simulator/command_copies.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lilaclead/internal/wire"
@@ -35,6 +36,9 @@
 	config CommandCopies
 	rng    *rand.Rand
 	counts CopiedCommands
+	// recorded holds the direct requests with launches that each machine has executed; nil: not
+	// recorded.
+	recorded map[wire.MachineID][][]byte
 }
 
 // CopyCommands makes the network deliver direct commands again from now on; the zero value ends
@@ -74,6 +78,9 @@
 	m.sim.mu.Lock()
 	defer m.sim.mu.Unlock()
 	copies := &m.sim.commandCopies
+	if copies.recorded != nil && hasLaunch(request.Commands) {
+		copies.recorded[m.id] = append(copies.recorded[m.id], raw)
+	}
 	if copies.config.Share == 0 || copies.rng.Float64() >= copies.config.Share {
 		return
 	}
@@ -86,6 +93,31 @@
 	}
 }
 
+// RecordLaunches records the direct requests with launches that machines execute from now on, for
+// DeliverRecordedLaunches.
+func (sim *Simulation) RecordLaunches() {
+	set(sim, &sim.commandCopies.recorded, map[wire.MachineID][][]byte{})
+}
+
+// DeliverRecordedLaunches delivers copies of all recorded requests of a machine, in the order in which
+// it executed them, and returns their number.
+func (sim *Simulation) DeliverRecordedLaunches(id wire.MachineID) int {
+	sim.mu.Lock()
+	m, recorded := sim.machines[id], sim.commandCopies.recorded[id]
+	sim.mu.Unlock()
+	if m == nil {
+		return 0
+	}
+	for _, raw := range recorded {
+		m.deliverCopy(raw)
+	}
+	return len(recorded)
+}
+
+func hasLaunch(commands []wire.Command) bool {
+	return slices.ContainsFunc(commands, func(c wire.Command) bool { return c.Verb == wire.VerbLaunch })
+}
+
 // deliverCopy has the machine handle a copy of a request as soon as it is awake. Nobody waits for
 // the answer.
 func (m *worker) deliverCopy(raw []byte) {
--- a/internal/simulator/machines.go
+++ b/internal/simulator/machines.go
@@ -77,6 +77,19 @@
 	return sim.machinesOfTasks(func(t wire.TaskID, _ Place) bool { return t.Job == id })
 }
 
+// TaskMachines returns the machine of each running task of a job.
+func (sim *Simulation) TaskMachines(id wire.JobID) map[wire.TaskID]wire.MachineID {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	machines := map[wire.TaskID]wire.MachineID{}
+	for task, place := range sim.checker.placeOf {
+		if task.Job == id {
+			machines[task] = place.Machine
+		}
+	}
+	return machines
+}
+
 // machinesOfTasks returns the machines of the running tasks for which passes returns true,
 // sorted.
 func (sim *Simulation) machinesOfTasks(passes func(wire.TaskID, Place) bool) []wire.MachineID {
