A controller that is not answered by a leader fences restarted agents

The leader ends, a machine is back within a fraction of a second in the middle of the election, and a late copy of an earlier launch runs a task there that runs elsewhere (ran_twice).

Here no leader is there to recognise it, and the controllers that hear the agent answered 421 or 503 and showed it no token.

Change: package restarts. A controller that hears an agent without a token, and that gets no answer for it from a leader within half a second, asks the agent by a probe with the lowest token whether it has really seen none (a late copy of a first report does not count), and fences it. The token is one more than the last leader's. That leader may be alive, with only the path to it cut: the agent then drops its commands. So a leader that sees a higher token than its own raises its token, at most once a second, and shows it to the agent; it launches nothing there before. It says so to the other controllers (peer.Heartbeat.RaisesToken, sent additively), and agents are not fenced for a leader of an earlier version that does not. Where no leader is known, after all controllers have started again, the token is one more than the store's revision at a moment without a leader's key; one read in half a second serves all agents. A delegate answers no agent without a token any more: it would show it the token of the launches.

What is left: a copy that arrives before the first contact, as when the agent's first report goes to a controller that is dead.

Simulator: a restarted machine has a new agent, which reports at once, to a random controller or to one that the test names; direct launches are recorded and delivered again on demand.

--- a/internal/compat/samples_test.go
+++ b/internal/compat/samples_test.go
@@ -41,6 +41,7 @@
 
 		{"beat", fullPeerHeartbeat()},
 		{"beat, leads", peer.Heartbeat{From: "worker-3", Sequence: 10, Token: 43, Leads: true, ReachableAgents: 122}},
+		{"beat, raises its token", peer.Heartbeat{From: "worker-5", Sequence: 12, Token: 45, RaisesToken: true}},
 		{"beat, version", peer.Heartbeat{From: "worker-4", Sequence: 11, Token: 44, Incarnation: "c0ffee", ActiveVersion: 2}},
 		{"word", fullCancelUpdate()},
 		{"cancellation", cancels.Entry{Job: "req-000414", Age: 3 * time.Second}},
--- a/internal/leader/agents/direct_launch_test.go
+++ b/internal/leader/agents/direct_launch_test.go
@@ -83,7 +83,7 @@
 		t.Error("higher token due: got false, want true")
 	}
 	f.Fencing.Token++
-	f.SendWaitingLaunches()
+	f.ContactWaitingMachines()
 	if !next.LaunchSent {
 		t.Error("launch sent under a higher token: got false, want true")
 	}
--- a/internal/leader/agents/dispatcher.go
+++ b/internal/leader/agents/dispatcher.go
@@ -22,6 +22,8 @@
 	TokenAnnounced bool
 	// waitingForToken are the machines to which launches may be sent only under a higher token.
 	waitingForToken map[*cluster.Machine]struct{}
+	// surpassedBy are the machines that have shown a higher token than the term's.
+	surpassedBy map[*cluster.Machine]struct{}
 }
 
 const (
@@ -88,10 +90,14 @@
 }
 
 // tokenAllowsLaunch reports whether an attempt may be launched under the present token. It may not
-// while the agent accepts a copy of a direct launch of an earlier attempt of the same task. Then a
-// higher token is requested, and SendWaitingLaunches sends the launch.
+// while the agent accepts a copy of a direct launch of an earlier attempt of the same task, or has
+// seen a higher token. Then a higher token is requested, and ContactWaitingMachines sends the launch.
 func (dp *Dispatcher) tokenAllowsLaunch(task wire.TaskID, attempt *cluster.Attempt) bool {
 	machine := attempt.Machine
+	if machine.Token > dp.Fencing.Token {
+		dp.AwaitHigherToken(machine)
+		return false
+	}
 	if !machine.OtherDirectLaunchAcceptedWith(task, attempt.Number, dp.Fencing.Token, machine.Epoch) {
 		return true
 	}
@@ -103,11 +109,24 @@
 	return false
 }
 
-// SendWaitingLaunches sends the launches that had to wait for a higher token. It is to be called
-// when the term has acquired one.
-func (dp *Dispatcher) SendWaitingLaunches() {
+// AwaitHigherToken requests a higher token for a machine that has shown a higher one than the term's.
+func (dp *Dispatcher) AwaitHigherToken(machine *cluster.Machine) {
+	dp.Fencing.Surpassed = true
+	if dp.surpassedBy == nil {
+		dp.surpassedBy = map[*cluster.Machine]struct{}{}
+	}
+	dp.surpassedBy[machine] = struct{}{}
+}
+
+// ContactWaitingMachines shows the present token to the machines that had shown a higher one than
+// the term's, and sends the launches that had to wait for a higher token. It is to be called when
+// the term has acquired one. The answer to a probe has the launches of its machine sent.
+func (dp *Dispatcher) ContactWaitingMachines() {
+	for machine := range dp.surpassedBy {
+		dp.Probe(machine)
+	}
 	waiting := dp.waitingForToken
-	dp.waitingForToken = nil
+	dp.waitingForToken, dp.surpassedBy = nil, nil
 	for machine := range waiting {
 		dp.SendDueCommands(machine)
 	}
--- a/internal/leader/agents/fence.go
+++ b/internal/leader/agents/fence.go
@@ -30,13 +30,13 @@
 	machine.FenceInFlight = true
 	addr, token, seen := machine.Addr, dp.Fencing.Token+1, *heartbeat
 	dp.Spawn(func(ctx context.Context) {
-		fenced, err := dp.Client.Fence(ctx, addr, token, &seen, allTasks)
+		fenced, err := dp.Client.Fence(ctx, addr, token, &seen, AnyTask)
 		dp.Post(FenceOutcome{Machine: machine, Heartbeat: fenced, Err: err})
 	})
 }
 
-// allTasks selects every task of a heartbeat.
-func allTasks(*wire.TaskStatus) bool { return true }
+// AnyTask selects every task of a heartbeat.
+func AnyTask(*wire.TaskStatus) bool { return true }
 
 // Fence shows the agent that sent a heartbeat a token and stops those of its tasks that mustStop
 // selects, also ones that it has started since. From then on the agent refuses all commands with a
--- a/internal/leader/agents/fence_test.go
+++ b/internal/leader/agents/fence_test.go
@@ -75,7 +75,7 @@
 				return respondWith(step.status, wire.Encode(step.heartbeat))
 			})
 			heartbeat := &wire.Heartbeat{Machine: "n-1", Epoch: 1, Sequence: 2, Tasks: tc.first}
-			fenced, err := client.Fence(t.Context(), "10.0.0.9:9000", token, heartbeat, allTasks)
+			fenced, err := client.Fence(t.Context(), "10.0.0.9:9000", token, heartbeat, AnyTask)
 			if err != nil || requests != len(tc.steps) || fenced.Token != tc.steps[requests-1].heartbeat.Token {
 				t.Errorf("got %+v, %v after %d requests, want %d requests", fenced, err, requests, len(tc.steps))
 			}
@@ -87,7 +87,7 @@
 	client := newTestClient(func(*http.Request) (*http.Response, error) {
 		return respondWith(http.StatusOK, wire.Encode(wire.Heartbeat{Machine: "n-2", Epoch: 1, Token: testToken}))
 	})
-	_, err := client.Fence(t.Context(), "10.0.0.9:9000", testToken, &wire.Heartbeat{Machine: "n-1", Epoch: 1}, allTasks)
+	_, err := client.Fence(t.Context(), "10.0.0.9:9000", testToken, &wire.Heartbeat{Machine: "n-1", Epoch: 1}, AnyTask)
 	var wrongMachine *WrongMachineError
 	if !errors.As(err, &wrongMachine) || wrongMachine.Got != "n-2" {
 		t.Errorf("got %v, want an error that names n-2", err)
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -10,9 +10,10 @@
 // Run campaigns for the leadership and serves each term that it wins, until the context
 // ends.
 func (l *Leader) Run(ctx context.Context) {
-	var counting sync.WaitGroup
-	counting.Go(func() { l.contacts.count(ctx) })
-	defer counting.Wait()
+	var background sync.WaitGroup
+	background.Go(func() { l.contacts.count(ctx) })
+	background.Go(func() { l.restarts.Run(ctx) })
+	defer background.Wait()
 	for ctx.Err() == nil {
 		if lease := l.candidate.Campaign(ctx); lease != nil {
 			l.lead(ctx, lease)
--- a/internal/leader/core/fencing.go
+++ b/internal/leader/core/fencing.go
@@ -21,14 +21,22 @@
 	// LaunchesWait means that launches may be sent only under a higher token, or that a machine
 	// takes none because it lists too many exits that wait for one.
 	LaunchesWait bool
+	// Surpassed means that an agent has shown a higher token, and drops the term's commands until
+	// the term has at least that token.
+	Surpassed bool
 	// RaiseBy is when a higher token is to be acquired at the latest; zero: at no time.
 	RaiseBy time.Time
 	// raisedAt is when the last raise began.
 	raisedAt time.Time
 }
 
-// minRaiseInterval is the least time between two raises that launches wait for.
-const minRaiseInterval = 5 * time.Second
+const (
+	// minRaiseInterval is the least time between two raises that launches wait for.
+	minRaiseInterval = 5 * time.Second
+	// minSurpassedInterval is the least time between two raises because of agents that have shown a
+	// higher token.
+	minSurpassedInterval = time.Second
+)
 
 // RequestRaiseBy requests that a higher token is acquired at a time or earlier.
 func (f *Fencing) RequestRaiseBy(at time.Time) {
@@ -39,7 +47,8 @@
 
 // RaiseDue reports whether a requested raise is to begin now.
 func (f *Fencing) RaiseDue(now time.Time) bool {
-	if f.LaunchesWait && now.Sub(f.raisedAt) >= minRaiseInterval {
+	sinceRaise := now.Sub(f.raisedAt)
+	if f.LaunchesWait && sinceRaise >= minRaiseInterval || f.Surpassed && sinceRaise >= minSurpassedInterval {
 		return true
 	}
 	requested := f.RaiseRequested || !f.RaiseBy.IsZero() && !now.Before(f.RaiseBy)
@@ -49,7 +58,8 @@
 // BeginRaise records that a raise begins, which serves all requests. Later requests wait for the
 // given time.
 func (f *Fencing) BeginRaise(now time.Time, pause time.Duration) {
-	f.Raising, f.RaiseRequested, f.LaunchesWait, f.RaiseBy = true, false, false, time.Time{}
+	f.Raising, f.RaiseRequested, f.RaiseBy = true, false, time.Time{}
+	f.LaunchesWait, f.Surpassed = false, false
 	f.raisedAt, f.RaiseNotBefore = now, now.Add(pause)
 }
 
--- a/internal/leader/core/fencing_test.go
+++ b/internal/leader/core/fencing_test.go
@@ -25,6 +25,8 @@
 		}, time.Minute, true},
 		{"requested by a time within the pause", func(f *Fencing) { f.RequestRaiseBy(begin.Add(time.Second)) }, pause, false},
 		{"a launch waits, too early", func(f *Fencing) { f.LaunchesWait = true }, minRaiseInterval - 1, false},
+		{"an agent shows a higher token, too early", func(f *Fencing) { f.Surpassed = true }, minSurpassedInterval - 1, false},
+		{"an agent shows a higher token", func(f *Fencing) { f.Surpassed = true }, minSurpassedInterval, true},
 		{"a launch waits", func(f *Fencing) { f.LaunchesWait = true }, minRaiseInterval, true},
 	}
 	for _, tc := range cases {
--- a/internal/leader/heartbeats.go
+++ b/internal/leader/heartbeats.go
@@ -9,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"lilaclead/internal/leader/reconcile"
+	"lilaclead/internal/leader/restarts"
 	"lilaclead/internal/peer"
 	"lilaclead/internal/undecodable"
 	"lilaclead/internal/wire"
@@ -17,6 +18,10 @@
 // heartbeatTimeout is how long a heartbeat waits for a response from the term's loop.
 const heartbeatTimeout = 3 * time.Second
 
+// relayPatience is how long a relayed heartbeat may wait for the leader's answer before the agent is
+// checked for a restart of its machine.
+const relayPatience = 500 * time.Millisecond
+
 // leaderContactLifetime is how long a peer counts as the leader after its last message to
 // this node.
 const leaderContactLifetime = 2 * peer.AckLifetime
@@ -169,7 +174,9 @@
 	if leader == "" {
 		return l.answerWithoutLeader(heartbeat)
 	}
-	if !l.delegate.RenewedRecently() && l.Mesh.View().Peers[leader].Connected(now) {
+	if !l.Mesh.View().Peers[leader].Connected(now) {
+		l.restarts.Check(heartbeat)
+	} else if !l.delegate.RenewedRecently() {
 		if commands := l.relayHeartbeat(ctx, leader, heartbeat); commands != nil {
 			return heartbeatAnswer{outcome: outcomeRelayed, commands: commands}
 		}
@@ -183,8 +190,13 @@
 }
 
 // answerWithoutLeader answers a heartbeat while no leader is known: this node renews the
-// lease as a delegate of the last leader, if it still may.
+// lease as a delegate of the last leader, if it still may. An agent without memory is not answered:
+// it would accept the delegate's token, under which launches were sent, and has no task to keep.
 func (l *Leader) answerWithoutLeader(heartbeat *wire.Heartbeat) heartbeatAnswer {
+	l.restarts.Check(heartbeat)
+	if restarts.HasNoMemory(heartbeat) {
+		return heartbeatAnswer{outcome: outcomeUnavailable, reason: "no leader known"}
+	}
 	if commands := l.delegate.Answer(heartbeat); commands != nil {
 		return heartbeatAnswer{outcome: outcomeDelegated, commands: commands}
 	}
@@ -206,10 +218,17 @@
 // relayHeartbeat forwards a heartbeat to the leader, which answers it if the agent seems
 // unable to reach the leader itself. Without this, an agent that is cut off only from the
 // leader is redirected back and forth until its lease expires. It returns nil if the leader
-// gave no response.
+// gave no response. If the leader does not answer at once, the agent is checked for a restart.
 func (l *Leader) relayHeartbeat(ctx context.Context, leader wire.NodeID, heartbeat *wire.Heartbeat) *wire.Commands {
+	overdue := time.AfterFunc(relayPatience, func() { l.restarts.Check(heartbeat) })
 	status, raw, err := l.Mesh.Relay(ctx, leader, "/peer/hello", heartbeat)
-	if err != nil || status != http.StatusOK {
+	overdue.Stop()
+	switch {
+	case err == nil && status == http.StatusOK:
+	case err == nil && status == http.StatusMisdirectedRequest: // the leader wants to hear the agent itself
+		return nil
+	default:
+		l.restarts.Check(heartbeat)
 		return nil
 	}
 	var commands wire.Commands
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -21,10 +21,11 @@
 // Other packages act beside that path. Package election holds the leadership and says
 // until when it may be used; recovery reads the records at the start of a term and follows
 // those of the jobs; delegation lets followers renew agents' leases for a leader that they
-// have lost contact with. Package liveness detects failed machines and expired leases, by
-// the rules in detector; autoscaler scales out and in, and scaling keeps account of its
-// requests to the cloud. Package core is what all of them share: the event loop, the lease
-// and the fencing token.
+// have lost contact with; restarts fences agents of restarted machines that no leader
+// answers. Package liveness detects failed machines and expired leases, by the rules in
+// detector; autoscaler scales out and in, and scaling keeps account of its requests to the
+// cloud. Package core is what all of them share: the event loop, the lease and the fencing
+// token.
 //
 // This package itself holds the campaign, the loop and its events, the machine inventory,
 // version switches, the operators' view and the HTTP handlers.
@@ -43,6 +44,7 @@
 	"lilaclead/internal/leader/core"
 	"lilaclead/internal/leader/delegation"
 	"lilaclead/internal/leader/election"
+	"lilaclead/internal/leader/restarts"
 	"lilaclead/internal/netio"
 	"lilaclead/internal/peer"
 	"lilaclead/internal/store"
@@ -90,6 +92,8 @@
 	term     atomic.Pointer[term]
 	contacts *agentContacts
 	agents   *agents.Client
+	// restarts fences agents of restarted machines that no leader answers.
+	restarts *restarts.Guard
 	// delegationBounds limit how long delegates renew leases without contact with the leader.
 	delegationBounds delegation.Bounds
 	// delegate lets this node renew leases for a leader that it has lost contact with.
@@ -99,11 +103,13 @@
 // New returns the leader of a node. It does nothing before Run.
 func New(d Dependencies) *Leader {
 	bounds := delegation.BoundsOf(d.Config.Settings.Workers)
+	client := agents.NewClient(d.Net, d.Mesh, d.MaxAgentConnections)
 	return &Leader{
 		Dependencies:     d,
 		candidate:        newCandidate(d),
 		contacts:         newAgentContacts(),
-		agents:           agents.NewClient(d.Net, d.Mesh, d.MaxAgentConnections),
+		agents:           client,
+		restarts:         restarts.NewGuard(d.Mesh, d.Store, client, d.Log),
 		delegationBounds: bounds,
 		delegate:         newDelegate(d, bounds),
 	}
--- a/internal/leader/progress/token.go
+++ b/internal/leader/progress/token.go
@@ -49,7 +49,7 @@
 	}
 	co.Mesh.ObserveToken(co.Context(), e.token)
 	co.Fencing.Raising = false
-	co.Dispatcher.SendWaitingLaunches()
+	co.Dispatcher.ContactWaitingMachines()
 	if e.unresolved != nil {
 		co.Spawn(func(ctx context.Context) { co.readOutcome(ctx, e.unresolved) })
 	}
--- a/internal/leader/reconcile/heartbeat.go
+++ b/internal/leader/reconcile/heartbeat.go
@@ -77,6 +77,9 @@
 	if machine.Token < rc.state.FirstToken && heartbeat.Token >= rc.state.FirstToken {
 		machine.TokenSeenAt = now
 	}
+	if heartbeat.Token > rc.Fencing.Token && !machine.Restarted {
+		rc.dispatcher.AwaitHigherToken(machine)
+	}
 	if heartbeat.Token > machine.Token || epochBegan {
 		machine.Token = max(machine.Token, heartbeat.Token)
 		machine.DropRefusedLaunches()
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -20,6 +20,8 @@
 	Token wire.FencingToken `cbor:"token"`
 	// Leads means that the sender is the leader with Token.
 	Leads bool `cbor:"leads"`
+	// RaisesToken means that the sender leads, and raises its token when an agent shows a higher one.
+	RaisesToken bool `cbor:"raises,omitempty"`
 	// StateReachable means that the sender reaches the key-value store.
 	StateReachable bool `cbor:"serves"`
 	// ReachableAgents is the number of agents in contact with the sender.
@@ -73,6 +75,7 @@
 		Sequence:        sequence,
 		Token:           token,
 		Leads:           s.Leads,
+		RaisesToken:     s.Leads,
 		StateReachable:  s.StateReachable,
 		ReachableAgents: s.ReachableAgents,
 		Incarnation:     s.Incarnation,
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -15,6 +15,9 @@
 	Token wire.FencingToken
 	// Leader is the node whose last heartbeat said that it leads with Token; empty if there is none.
 	Leader wire.NodeID
+	// LeaderRaisesToken is true if the leader with Token said that it raises its token when an agent
+	// shows a higher one.
+	LeaderRaisesToken bool
 	// Peers holds the other nodes that have been in contact.
 	Peers map[wire.NodeID]Peer
 	// LeaderSeenAt is when this node last received a heartbeat or a delegation of a leader with the
@@ -100,7 +103,7 @@
 // observeToken records a token. If it is a new highest token, no leader with it is known yet.
 func (v *View) observeToken(token wire.FencingToken) {
 	if token > v.Token {
-		v.Token, v.Leader = token, ""
+		v.Token, v.Leader, v.LeaderRaisesToken = token, "", false
 	}
 }
 
@@ -110,7 +113,7 @@
 	v.observeToken(heartbeat.Token)
 	switch {
 	case heartbeat.Leads && heartbeat.Token == v.Token:
-		v.Leader, v.LeaderSeenAt = heartbeat.From, p.LastContact
+		v.Leader, v.LeaderSeenAt, v.LeaderRaisesToken = heartbeat.From, p.LastContact, heartbeat.RaisesToken
 	case v.Leader == heartbeat.From:
 		v.Leader = ""
 	}
--- a/internal/peer/view_test.go
+++ b/internal/peer/view_test.go
@@ -80,6 +80,7 @@
 		wantSeen   time.Time // LeaderSeenAt
 	}{
 		{"leader with the known token", Heartbeat{From: "b", Token: 7, Leads: true}, 7, "b", at(5)},
+		{"leader that raises its token", Heartbeat{From: "b", Token: 7, Leads: true, RaisesToken: true}, 7, "b", at(5)},
 		{"leader with a higher token", Heartbeat{From: "b", Token: 8, Leads: true}, 8, "b", at(5)},
 		{"leader with a lower token is ignored", Heartbeat{From: "b", Token: 6, Leads: true}, 7, "a", at(1)},
 		{"node that does not lead", Heartbeat{From: "b", Token: 7}, 7, "a", at(1)},
@@ -94,6 +95,9 @@
 			if view.Token != tt.wantToken || view.Leader != tt.wantLeader || !view.LeaderSeenAt.Equal(tt.wantSeen) {
 				t.Errorf("token %d, leader %q seen at %v, want %d, %q, %v", view.Token, view.Leader, view.LeaderSeenAt, tt.wantToken, tt.wantLeader, tt.wantSeen)
 			}
+			if view.LeaderRaisesToken != tt.heartbeat.RaisesToken {
+				t.Errorf("the leader raises its token %v, want %v", view.LeaderRaisesToken, tt.heartbeat.RaisesToken)
+			}
 			if p.From != tt.heartbeat.From || p.Token != tt.heartbeat.Token {
 				t.Errorf("recorded heartbeat %+v, want %+v", p.Heartbeat, tt.heartbeat)
 			}
@@ -161,3 +165,18 @@
 		t.Errorf("published view changed to %+v", published)
 	}
 }
+
+// Guards against agents that their leader can't use: what a leader said of its token says nothing of the
+// next one.
+func TestHigherTokenEndsWhatLeaderSaid(t *testing.T) {
+	view := &View{}
+	view.observeHeartbeat(&Peer{}, &Heartbeat{From: "a", Token: 7, Leads: true, RaisesToken: true})
+	view.observeToken(7)
+	if !view.LeaderRaisesToken {
+		t.Error("the leader raises its token: false after its heartbeat, want true")
+	}
+	view.observeToken(8)
+	if view.LeaderRaisesToken {
+		t.Error("the leader raises its token: true after a higher token, want false")
+	}
+}
--- a/internal/scenarios/machine_restart_test.go
+++ b/internal/scenarios/machine_restart_test.go
@@ -132,6 +132,102 @@
 	}
 }
 
+// followerOf returns a controller that does not lead.
+func followerOf(sim *simulator.Simulation, leader int) int { return (leader + 1) % sim.Settings.Size }
+
+// Guards against ran_twice: a machine restarts in the middle of an election, and copies of launches
+// arrive whose attempts had ended there before. The controller that hears the machine first fences it.
+func TestCopyOfLaunchAfterRestartInElectionStartsNothing(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name    string
+		restart func(t *testing.T, sim *simulator.Simulation, machine wire.MachineID) (recover func())
+	}{
+		{"leader down", func(t *testing.T, sim *simulator.Simulation, machine wire.MachineID) func() {
+			leader := sim.Leader()
+			sim.KillController(leader)
+			time.Sleep(200 * time.Millisecond)
+			sim.RestartMachineAt(machine, followerOf(sim, leader))
+			return func() { startControllers(t, sim, leader) }
+		}},
+		{"leader silent", func(_ *testing.T, sim *simulator.Simulation, machine wire.MachineID) func() {
+			leader := sim.Leader()
+			sim.IsolateController(leader, simulator.CutModes[0], true)
+			sim.Net.Cut(simulator.NodeIP(leader), sim.MachineIP(machine), true)
+			time.Sleep(200 * time.Millisecond)
+			sim.RestartMachineAt(machine, followerOf(sim, leader))
+			time.Sleep(600 * time.Millisecond) // the controller waits for the leader's answer first
+			return func() {
+				sim.Net.Cut(simulator.NodeIP(leader), sim.MachineIP(machine), false)
+				sim.IsolateController(leader, simulator.CutModes[0], false)
+			}
+		}},
+		{"leader cut off from the controller", func(_ *testing.T, sim *simulator.Simulation, machine wire.MachineID) func() {
+			leader := sim.Leader()
+			follower := followerOf(sim, leader)
+			sim.Net.Cut(simulator.NodeIP(leader), simulator.NodeIP(follower), true)
+			time.Sleep(3 * time.Second)
+			sim.RestartMachineAt(machine, follower)
+			return func() { sim.Net.Cut(simulator.NodeIP(leader), simulator.NodeIP(follower), false) }
+		}},
+		{"all controllers down for longer than a grant", func(t *testing.T, sim *simulator.Simulation, machine wire.MachineID) func() {
+			killAll(sim)
+			time.Sleep(4 * time.Second)
+			sim.RestartMachineAt(machine, 1)
+			time.Sleep(100 * time.Millisecond)
+			startControllers(t, sim, 0, 1, 2)
+			waitUntil(t, 5*time.Second, "a controller has heard the machine", func() bool { _, _, token := sim.MachineEpoch(machine); return token > 0 })
+			return func() {}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, 645, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
+				sim.RecordLaunches()
+				sleepUntil(2 * time.Second)
+				job, machine := movedTask(t, sim, 120)
+				recoverFromFault := tc.restart(t, sim, machine)
+				time.Sleep(200 * time.Millisecond)
+				deliverLaunchesAgain(t, sim, machine)
+				time.Sleep(6 * time.Second)
+				recoverFromFault()
+				sim.SetCapacity(8)
+				markFaultsOver(sim)
+				time.Sleep(400 * time.Second)
+				mustFinish(t, sim, job)
+			})
+		})
+	}
+}
+
+// Guards against machines that no leader can use: an agent was fenced although its leader is alive, and
+// drops its commands until it raises its token.
+func TestNewMachinesServeWhileControllersCannotReachEachOther(t *testing.T) {
+	t.Parallel()
+	runWithSettings(t, settingsOfSize(5), 646, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
+		job := array(1, 24, 20)
+		sleepUntil(5 * time.Second)
+		if sim.Leader() == 0 { // new machines contact controller 0 first, which must not lead
+			replaceLeader(t, sim)
+			time.Sleep(5 * time.Second)
+		}
+		leader, before := sim.LeaderAndToken()
+		for i := range sim.Settings.Size {
+			for k := range i {
+				sim.Net.Cut(simulator.NodeIP(i), simulator.NodeIP(k), true)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		sim.Submit(job, 0)
+		time.Sleep(80 * time.Second)
+		if now, token := sim.LeaderAndToken(); now != leader || token == before {
+			t.Errorf("controller %d leads with token %d, want %d with a higher token than %d", now, token, leader, before)
+		}
+		mustFinish(t, sim, job)
+	})
+}
+
 // runsTaskOf reports whether a machine runs a task of a job.
 func runsTaskOf(sim *simulator.Simulation, machine wire.MachineID, job simulator.JobScript) bool {
 	return slices.Contains(sim.MachinesRunning(job.Spec.ID), machine)
--- a/internal/simulator/machine_faults.go
+++ b/internal/simulator/machine_faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"lilaclead/internal/wire"
@@ -11,6 +12,7 @@
 // are duplicated or dropped, commands that are delayed, and machines that hang. The simulation's
 // lock guards it.
 type machineFaults struct {
+	rng                *rand.Rand                          // of the machines' restarts
 	recordedHeartbeats map[wire.MachineID][]wire.Heartbeat // nil: not recorded
 	droppedHeartbeats  map[wire.MachineID]bool             // machines whose heartbeats are dropped
 	duplicateShare     float64                             // share of the heartbeats that are duplicated
@@ -47,17 +49,26 @@
 }
 
 // RestartMachine restarts a machine at once: its epoch, sequence number and token start anew, and
-// its tasks and images are gone.
+// its tasks and images are gone. It contacts a random controller first.
 func (sim *Simulation) RestartMachine(id wire.MachineID) {
+	sim.mu.Lock()
+	first := sim.machineFaults.rng.IntN(len(sim.controllers))
+	sim.mu.Unlock()
+	sim.RestartMachineAt(id, first)
+}
+
+// RestartMachineAt is RestartMachine with the controller that the machine contacts first.
+func (sim *Simulation) RestartMachineAt(id wire.MachineID, controller int) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	if m := sim.machines[id]; m != nil {
+	if m := sim.machines[id]; m != nil && m.up {
 		sim.lastFault = time.Now()
 		m.endAllTasks()
 		m.restarts++
+		m.firstTarget = controller
+		m.endAgent()
 		m.epoch, m.sequence, m.token = 1, 0, 0
 		m.leaseRenewedAt, m.cachedImages = time.Now(), map[wire.ImageID]bool{}
-		m.requestHeartbeat()
 	}
 }
 
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -129,6 +129,7 @@
 			sim.capacity[capacityKey(spec.Name, zone, true)] = 3
 		}
 	}
+	sim.machineFaults.rng = rand.New(rand.NewPCG(seed, 13))
 	sim.commandCopies.rng = rand.New(rand.NewPCG(seed, 11)) // its own, so that seeds without copies draw as before
 	sim.checker.MachineSpecs, sim.lastFault = sim.machineTypes, time.Now()
 	sim.serve(KVStoreAddr, sim.State)
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -39,6 +39,8 @@
 	cachedImages   map[wire.ImageID]bool
 	wake           chan struct{} // requests an early heartbeat
 	restarts       int           // restarts of the machine, which reset its epoch
+	firstTarget    int           // controller that its agent contacts first
+	endAgent       func()        // ends the agent, so that a new one begins
 	lastHeartbeat  wire.Heartbeat
 }
 
@@ -91,7 +93,20 @@
 		server.Close()
 	})
 	sim.spawn(m.watchLease)
-	m.sendHeartbeats()
+	for m.ctx.Err() == nil {
+		m.runAgent()
+	}
+}
+
+// runAgent sends the heartbeats of one agent, until the machine is gone or restarts.
+func (m *worker) runAgent() {
+	ctx, cancel := context.WithCancel(m.ctx)
+	defer cancel()
+	m.sim.mu.Lock()
+	m.endAgent = cancel
+	first := m.firstTarget
+	m.sim.mu.Unlock()
+	m.sendHeartbeats(ctx, first)
 }
 
 // Timing of a worker's heartbeats.
@@ -107,25 +122,24 @@
 )
 
 // sendHeartbeats sends heartbeats to one controller until it fails, then to the leader that its
-// response names or to the next controller, until the machine is gone.
-func (m *worker) sendHeartbeats() {
+// response names or to the next controller, until the context ends.
+func (m *worker) sendHeartbeats(ctx context.Context, target int) {
 	client := &http.Client{Transport: m.sim.hostNet(m.ip).Transport(1, 1)}
 	defer client.CloseIdleConnections()
-	target := 0
-	for m.ctx.Err() == nil {
-		status, body := m.sendHeartbeatTo(client, target)
+	for ctx.Err() == nil {
+		status, body := m.sendHeartbeatTo(ctx, client, target)
 		if status == http.StatusOK {
-			m.awaitNextHeartbeat()
+			m.awaitNextHeartbeat(ctx)
 			continue
 		}
 		client.CloseIdleConnections()
 		if next, ok := redirectedTo(status, body); ok && next != target {
 			target = next
-			sleep(m.ctx, redirectDelay)
+			sleep(ctx, redirectDelay)
 			continue
 		}
 		target = (target + 1) % len(m.sim.controllers)
-		sleep(m.ctx, retryDelay)
+		sleep(ctx, retryDelay)
 	}
 }
 
@@ -140,21 +154,25 @@
 
 // sendHeartbeatTo sends a heartbeat to the i-th controller and executes the commands of the
 // response.
-func (m *worker) sendHeartbeatTo(client *http.Client, i int) (status int, body []byte) {
-	m.awaitAwake(m.ctx)
+func (m *worker) sendHeartbeatTo(ctx context.Context, client *http.Client, i int) (status int, body []byte) {
+	m.awaitAwake(ctx)
 	m.sim.mu.Lock()
+	if ctx.Err() != nil {
+		m.sim.mu.Unlock()
+		return 0, nil
+	}
 	heartbeat, restarts := m.nextHeartbeat(), m.restarts
 	m.lastHeartbeat = heartbeat
 	dropped := m.sim.onHeartbeatSent(m, heartbeat)
 	m.sim.mu.Unlock()
 	sent := time.Now()
 	if dropped {
-		sleep(m.ctx, heartbeatTimeout)
+		sleep(ctx, heartbeatTimeout)
 	} else {
-		status, body = m.postHeartbeat(client, "http://"+NodeIP(i)+":8080/hello", heartbeat)
+		status, body = m.postHeartbeat(ctx, client, "http://"+NodeIP(i)+":8080/hello", heartbeat)
 	}
-	sleep(m.ctx, m.commandDelay().HeartbeatResponse)
-	if m.awaitAwake(m.ctx); time.Since(sent) > heartbeatTimeout {
+	sleep(ctx, m.commandDelay().HeartbeatResponse)
+	if m.awaitAwake(ctx); time.Since(sent) > heartbeatTimeout {
 		return 0, nil // timed out while the machine hung
 	}
 	var commands wire.Commands
@@ -165,18 +183,18 @@
 }
 
 // awaitNextHeartbeat waits until the next heartbeat is due or was requested early.
-func (m *worker) awaitNextHeartbeat() {
-	sleep(m.ctx, minHeartbeatInterval)
+func (m *worker) awaitNextHeartbeat(ctx context.Context) {
+	sleep(ctx, minHeartbeatInterval)
 	select {
-	case <-m.ctx.Done():
+	case <-ctx.Done():
 	case <-m.wake:
 	case <-time.After(m.sim.Settings.Workers.HeartbeatInterval.Duration() - minHeartbeatInterval):
 	}
 }
 
 // postHeartbeat posts a heartbeat; status 0 means no response.
-func (m *worker) postHeartbeat(client *http.Client, url string, heartbeat any) (int, []byte) {
-	ctx, cancel := context.WithTimeout(m.ctx, heartbeatTimeout)
+func (m *worker) postHeartbeat(ctx context.Context, client *http.Client, url string, heartbeat any) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	status, raw, _, err := netio.Call(ctx, client, "POST", url, heartbeat, wire.MaxBodyBytes)
 	if err != nil {
