What a copy started before the first contact is stopped by the records

A job is cancelled and its task is stopped at once. Later than cancel_s the leader ends, the task's machine is back within a fraction of a second, and a late copy of the launch starts the task again (ran_cancelled).

Change: an agent that has sent few messages (up to 6) and runs a task may be one that a copy came to, or one of a machine that has just joined. The records tell them apart, since an attempt is recorded before it is launched and until its end is known. A controller that is not answered by a leader stops the attempts of such an agent that the records do not have on its machine, and those of jobs that it knows to be cancelled, which needs no store; and it fences the agent. The look-ups use a twentieth of the store's rate limit, so that an election and its recovery are not starved when many machines have just joined. What can't be read is left alone.

What is left: a copy that comes before the first contact, of a task whose image is fetched before the next report (a second after a failed one), or while the store can't be read, of a job that was not cancelled.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -109,12 +109,23 @@
 		candidate:        newCandidate(d),
 		contacts:         newAgentContacts(),
 		agents:           client,
-		restarts:         restarts.NewGuard(d.Mesh, d.Store, client, d.Log),
+		restarts:         newGuard(d, client),
 		delegationBounds: bounds,
 		delegate:         newDelegate(d, bounds),
 	}
 }
 
+func newGuard(d Dependencies, client *agents.Client) *restarts.Guard {
+	return restarts.NewGuard(restarts.Config{
+		Mesh:     d.Mesh,
+		Store:    d.Store,
+		Agents:   client,
+		Cancels:  d.Cancels,
+		StoreRPS: d.Config.Settings.State.RPS,
+		Log:      d.Log,
+	})
+}
+
 func newCandidate(d Dependencies) *election.Candidate {
 	o := election.Options(d.Config, d.Store, d.Log, d.Mesh.ObserveToken)
 	o.Observe = d.Observe
--- a/internal/leader/restarts/guard_test.go
+++ b/internal/leader/restarts/guard_test.go
@@ -23,6 +23,10 @@
 	revision    wire.Revision
 	storeErr    error
 	storeReads  int
+	active      map[string]bool // by task, whether its attempt is active; tasks that are missing can't be read
+	lookups     int
+	cancelled   map[wire.JobID]bool
+	stops       func(*wire.TaskStatus) bool
 	agent       wire.Heartbeat // what the agent would report now
 	agentErr    error
 	probes      int
@@ -47,13 +51,27 @@
 	return &answer, 200, n.agentErr
 }
 
-func (n *fakeNode) Fence(_ context.Context, _ string, token wire.FencingToken, heartbeat *wire.Heartbeat, _ func(*wire.TaskStatus) bool) (*wire.Heartbeat, error) {
+func (n *fakeNode) Fence(_ context.Context, _ string, token wire.FencingToken, heartbeat *wire.Heartbeat, mustStop func(*wire.TaskStatus) bool) (*wire.Heartbeat, error) {
+	n.stops = mustStop
 	n.fencedWith, n.fenceEpochs = append(n.fencedWith, token), append(n.fenceEpochs, heartbeat.Epoch)
 	return heartbeat, nil
 }
 
+func (n *fakeNode) AttemptIsActive(_ context.Context, task wire.TaskID, _ wire.AttemptNumber, _ wire.MachineID) (bool, error) {
+	n.lookups++
+	active, known := n.active[task.String()]
+	if !known {
+		return false, errOutage
+	}
+	return active, nil
+}
+
+func (n *fakeNode) ConfirmedAt(id wire.JobID) (time.Time, bool) { return time.Time{}, n.cancelled[id] }
+
+const testStoreRPS = 200
+
 func newTestGuard(n *fakeNode) *Guard {
-	return NewGuard(n, n, n, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	return NewGuard(Config{Mesh: n, Store: n, Agents: n, Cancels: n, StoreRPS: testStoreRPS, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 }
 
 func freshHeartbeat() *wire.Heartbeat {
@@ -76,7 +94,7 @@
 		{"store down", fakeNode{revision: 73, storeErr: errOutage}, freshHeartbeat(), 0},
 		{"late copy: the agent has seen a token", fakeNode{view: known, agent: wire.Heartbeat{Token: 40}}, freshHeartbeat(), 0},
 		{"agent not reached", fakeNode{view: known, agentErr: errOutage}, freshHeartbeat(), 0},
-		{"heartbeat with a token", fakeNode{view: known}, &wire.Heartbeat{Machine: "n-1", Addr: "10.0.0.9:9000", Epoch: 1, Sequence: 9, Token: 40}, 0},
+		{"old heartbeat with a token", fakeNode{view: known}, &wire.Heartbeat{Machine: "n-1", Addr: "10.0.0.9:9000", Epoch: 1, Sequence: 9, Token: 40}, 0},
 		{"heartbeat without an address", fakeNode{view: known}, &wire.Heartbeat{Machine: "n-1", Epoch: 1, Sequence: 1}, 0},
 	}
 	for _, tc := range cases {
@@ -138,3 +156,86 @@
 		}
 	})
 }
+
+func statusOf(task string, phase wire.TaskPhase) wire.TaskStatus {
+	return wire.TaskStatus{Task: task, Attempt: 1, Phase: phase}
+}
+
+// Guards against a copy that comes before the first contact: what the records do not have on the machine
+// is stopped, also if the agent started it since, and nothing else is.
+func TestStaleAttemptsOfYoungAgentAreStopped(t *testing.T) {
+	known := peer.View{Token: 40, LeaderRaisesToken: true}
+	ended, running := statusOf("req-1/0", wire.PhaseFetching), statusOf("req-2/0", wire.PhaseRunning)
+	startedSince := statusOf("req-3/0", wire.PhaseFetching)
+	records := map[string]bool{"req-1/0": false, "req-2/0": true}
+	cases := []struct {
+		name      string
+		node      fakeNode
+		tasks     []wire.TaskStatus
+		sequence  wire.Sequence
+		wantToken wire.FencingToken // 0: left alone
+		wantStops []wire.TaskStatus
+		wantKept  []wire.TaskStatus
+	}{
+		{"ended attempt", fakeNode{view: known, active: records}, []wire.TaskStatus{ended, running}, 3, 41, []wire.TaskStatus{ended, startedSince}, []wire.TaskStatus{running}},
+		{"no higher token may be shown", fakeNode{view: peer.View{Token: 40}, leaderKey: true, active: records}, []wire.TaskStatus{ended}, 3, 40, []wire.TaskStatus{ended}, nil},
+		{"cancelled job, store down", fakeNode{view: known, cancelled: map[wire.JobID]bool{"req-1": true}}, []wire.TaskStatus{ended}, 3, 41, []wire.TaskStatus{ended}, nil},
+		{"recorded attempt", fakeNode{view: known, active: records}, []wire.TaskStatus{running}, 3, 0, nil, nil},
+		{"store down", fakeNode{view: known}, []wire.TaskStatus{ended}, 3, 0, nil, nil},
+		{"exited", fakeNode{view: known, active: records}, []wire.TaskStatus{statusOf("req-1/0", wire.PhaseExited)}, 3, 0, nil, nil},
+		{"not young", fakeNode{view: known, active: records}, []wire.TaskStatus{ended}, youngSequence + 1, 0, nil, nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				node := &tc.node
+				node.agent = wire.Heartbeat{Machine: "n-1", Addr: "10.0.0.9:9000", Epoch: 1, Sequence: tc.sequence, Token: 40, Tasks: tc.tasks}
+				guard := newTestGuard(node)
+				go guard.Run(ctx)
+				guard.Check(&node.agent)
+				synctest.Wait()
+				if tc.wantToken == 0 {
+					if len(node.fencedWith) > 0 {
+						t.Errorf("fenced with %v, want left alone", node.fencedWith)
+					}
+					return
+				}
+				if len(node.fencedWith) != 1 || node.fencedWith[0] != tc.wantToken {
+					t.Fatalf("fenced with %v, want %d once", node.fencedWith, tc.wantToken)
+				}
+				for i := range tc.wantStops {
+					if !node.stops(&tc.wantStops[i]) {
+						t.Errorf("%s is not stopped", tc.wantStops[i].Task)
+					}
+				}
+				for i := range tc.wantKept {
+					if node.stops(&tc.wantKept[i]) {
+						t.Errorf("%s is stopped", tc.wantKept[i].Task)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against an election that is starved: many machines that have just joined are looked up at a
+// bounded rate.
+func TestLookupsTakeAPartOfTheStoresLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		node := &fakeNode{active: map[string]bool{"req-2/0": true}}
+		node.agent = wire.Heartbeat{Machine: "n-1", Addr: "10.0.0.9:9000", Epoch: 1, Sequence: 3, Token: 40, Tasks: []wire.TaskStatus{statusOf("req-2/0", wire.PhaseRunning)}}
+		guard := newTestGuard(node)
+		go guard.Run(ctx)
+		for range 100 {
+			guard.Check(&node.agent)
+			synctest.Wait()
+		}
+		if most := testStoreRPS / rateDivisor / store.ReadsPerAttempt; node.lookups > most {
+			t.Errorf("%d look-ups at once, want at most %d", node.lookups, most)
+		}
+	})
+}
--- a/internal/scenarios/machine_restart_test.go
+++ b/internal/scenarios/machine_restart_test.go
@@ -62,6 +62,7 @@
 	t.Helper()
 	cancelled, job, displacing := array(10, 4, 300), array(11, 8, 120), array(12, 4, displacingSeconds)
 	cancelled.Spec.Priority, displacing.Spec.Priority = wire.PriorityUrgent, wire.PriorityUrgent
+	job.Spec.ImageGB = slowImageGB
 	submitAll(sim, cancelled, job)
 	waitUntil(t, 90*time.Second, "all tasks run", func() bool {
 		return tasksOnMachines(sim, job.Spec.ID) == job.Spec.Tasks && tasksOnMachines(sim, cancelled.Spec.ID) == cancelled.Spec.Tasks
@@ -201,6 +202,86 @@
 	}
 }
 
+// Guards against ran_cancelled: after the time in which a cancelled job's tasks must be gone, one of its
+// machines restarts in the middle of an election and a copy of the launch arrives, before the machine's
+// first contact with a live controller or after it.
+func TestCopyOfCancelledLaunchAfterRestartInElectionStartsNothing(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name       string
+		deadFirst  bool // the first report goes to the dead leader, so that the copy comes before the first contact
+		storeIsOut bool
+	}{
+		{"first report to a live controller", false, false},
+		{"first report to the dead leader", true, false},
+		{"first report to the dead leader, key-value store down", true, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, 647, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
+				sim.RecordLaunches()
+				cancelled, others := array(1, 6, 300), service(2, 4)
+				cancelled.Spec.ImageGB = slowImageGB
+				sleepUntil(2 * time.Second)
+				submitAll(sim, cancelled, others)
+				waitUntil(t, 60*time.Second, "all tasks run", func() bool { return tasksOnMachines(sim, cancelled.Spec.ID) == cancelled.Spec.Tasks })
+				machine := sim.MachinesRunning(cancelled.Spec.ID)[0]
+				time.Sleep(2 * time.Second)
+				sim.SetCloudOutage(true) // so that idle machines are not returned
+				mustCancel(t, sim, cancelled)
+				time.Sleep(sim.Settings.Workers.CancelTimeout.Duration() + time.Second)
+				leader := sim.Leader()
+				sim.KillController(leader)
+				sim.State.SetOutage(tc.storeIsOut)
+				time.Sleep(200 * time.Millisecond)
+				first := followerOf(sim, leader)
+				if tc.deadFirst {
+					first = leader
+				}
+				sim.RestartMachineAt(machine, first)
+				time.Sleep(200 * time.Millisecond)
+				deliverLaunchesAgain(t, sim, machine)
+				time.Sleep(6 * time.Second)
+				sim.State.SetOutage(false)
+				sim.SetCloudOutage(false)
+				startControllers(t, sim, leader)
+				markFaultsOver(sim)
+				time.Sleep(60 * time.Second)
+				mustHaveNoTasks(t, sim, cancelled, "at the end")
+				mustRun(t, sim, others, "at the end")
+			})
+		})
+	}
+}
+
+// slowImageGB is the size of an image whose fetch takes longer than an agent's pause after a failed
+// report, which is a second.
+const slowImageGB = 2
+
+// Guards against ran_twice: a copy comes before the first contact of a restarted machine with a live
+// controller. The controller that hears of the attempt finds no record of it and stops it.
+func TestCopyOfLaunchBeforeFirstContactInElectionIsStopped(t *testing.T) {
+	t.Parallel()
+	runScenario(t, 648, func(sim *simulator.Simulation, sleepUntil func(time.Duration)) {
+		sim.RecordLaunches()
+		sleepUntil(2 * time.Second)
+		job, machine := movedTask(t, sim, 120)
+		leader := sim.Leader()
+		sim.KillController(leader)
+		time.Sleep(200 * time.Millisecond)
+		sim.RestartMachineAt(machine, leader)
+		time.Sleep(200 * time.Millisecond)
+		deliverLaunchesAgain(t, sim, machine)
+		time.Sleep(6 * time.Second)
+		startControllers(t, sim, leader)
+		sim.SetCapacity(8)
+		markFaultsOver(sim)
+		time.Sleep(400 * time.Second)
+		mustFinish(t, sim, job)
+	})
+}
+
 // Guards against machines that no leader can use: an agent was fenced although its leader is alive, and
 // drops its commands until it raises its token.
 func TestNewMachinesServeWhileControllersCannotReachEachOther(t *testing.T) {
