Test of copies waits until its task runs before it changes the task

TestCopyOfLaunchIsExecutedWhileTokenAndEpochMatch failed by itself: it set a task's phase to exited while the goroutine that starts the task might not have run yet, and that goroutine then set the phase to running. The simulator itself cancels the goroutine before a task exits. The test now waits until the task runs.

--- a/internal/simulator/command_copies_test.go
+++ b/internal/simulator/command_copies_test.go
@@ -41,6 +41,9 @@
 				time.Sleep(2 * time.Second)
 				sim.mu.Lock()
 				m.execute(launch.Commands)
+				sim.mu.Unlock()
+				synctest.Wait() // the task runs; its goroutine would set its phase again
+				sim.mu.Lock()
 				tc.setup(m)
 				sim.mu.Unlock()
 				m.deliverCopy(wire.Encode(launch))
