Scenarios date a poll by when it was sent, not by its answer

The rule is about answers to polls that were sent after a confirmation, and the checker has that time from all other callers.

--- a/internal/scenarios/helpers_checks_test.go
+++ b/internal/scenarios/helpers_checks_test.go
@@ -201,13 +201,14 @@
 	for i := range size {
 		for _, id := range ids {
 			waitUntil(t, 75*time.Second-time.Since(faultsOver), fmt.Sprintf("controller %d answers about %s", i, id), func() bool {
+				sentAt := time.Now()
 				status, raw, _ := sim.Ask(i, "GET", "/v1/jobs/"+string(id), nil)
 				var state wire.JobState
 				if status != 200 || wire.Decode(raw, &state) != nil {
 					time.Sleep(time.Second)
 					return false
 				}
-				sim.WithChecker(func(c *simulator.Checker) { c.PollAnsweredNow(id, status, state.Status, time.Now()) })
+				sim.WithChecker(func(c *simulator.Checker) { c.PollAnswered(id, status, state.Status, sentAt, time.Now()) })
 				return true
 			})
 		}
--- a/internal/scenarios/helpers_users_test.go
+++ b/internal/scenarios/helpers_users_test.go
@@ -161,10 +161,11 @@
 			return
 		case <-time.After(time.Second):
 		}
+		sentAt := time.Now()
 		status, raw, _ := p.sim.Ask(p.node, "GET", "/v1/jobs/"+string(id), nil)
 		var state wire.JobState
 		if status == http.StatusNotFound || status == http.StatusOK && wire.Decode(raw, &state) == nil {
-			p.sim.WithChecker(func(c *simulator.Checker) { c.PollAnsweredNow(id, status, state.Status, time.Now()) })
+			p.sim.WithChecker(func(c *simulator.Checker) { c.PollAnswered(id, status, state.Status, sentAt, time.Now()) })
 			p.answeredCount.Add(1)
 		}
 	}
@@ -237,6 +238,7 @@
 // were told before the poll. It returns how much users know afterwards.
 func (r *statusReader) readFrom(node int, known simulator.KnownStatus) simulator.KnownStatus {
 	r.sim.WithChecker(func(c *simulator.Checker) { known = max(known, c.KnownStatus(r.id)) })
+	sentAt := time.Now()
 	status, raw, _ := r.sim.Ask(node, "GET", "/v1/jobs/"+string(r.id), nil)
 	var state wire.JobState
 	if status == http.StatusOK && wire.Decode(raw, &state) != nil {
@@ -255,7 +257,7 @@
 			r.updates = append(r.updates, statusUpdate{time.Now(), node, told})
 		}
 		if told >= c.KnownStatus(r.id) {
-			c.PollAnsweredNow(r.id, status, state.Status, time.Now())
+			c.PollAnswered(r.id, status, state.Status, sentAt, time.Now())
 		}
 	})
 	return known
