What a heartbeat lists, and the stop of a task, are methods of the messages

Two functions told whether a heartbeat lists an attempt, two made the same stop, and two looked for a task that has not exited. Each is one method of package wire now. No change of behaviour.

--- a/internal/leader/agents/fence.go
+++ b/internal/leader/agents/fence.go
@@ -73,13 +73,7 @@
 		if status.Phase == wire.PhaseExited || !mustStop(status) || len(stops) >= MaxCommands {
 			continue
 		}
-		stops = append(stops, stopAtOnce(status))
+		stops = append(stops, status.StopAtOnce())
 	}
 	return stops
 }
-
-// stopAtOnce returns the command that stops a task without a grace period.
-func stopAtOnce(status *wire.TaskStatus) wire.Command {
-	noGracePeriod := wire.Seconds(0)
-	return wire.Command{Verb: wire.VerbStop, Task: status.Task, Attempt: status.Attempt, GracePeriod: &noGracePeriod}
-}
--- a/internal/leader/agents/heartbeat_answers.go
+++ b/internal/leader/agents/heartbeat_answers.go
@@ -78,7 +78,7 @@
 		switch {
 		case dp.State.IsQuarantined(task.Job): // its record may be one that can't be decoded
 		case status.Phase != wire.PhaseExited:
-			commands = append(commands, stopAtOnce(status))
+			commands = append(commands, status.StopAtOnce())
 		case dp.mayForget(machine, task, heartbeat):
 			commands = append(commands, wire.Command{Verb: wire.VerbForget, Task: status.Task, Attempt: status.Attempt})
 			dp.Attempts.ForgetOrdered(status.Task, status.Attempt, machine.ID, dp.forgetGround(task))
--- a/internal/leader/cluster/launch.go
+++ b/internal/leader/cluster/launch.go
@@ -1,10 +1,6 @@
 package cluster
 
-import (
-	"slices"
-
-	"lilaclead/internal/wire"
-)
+import "lilaclead/internal/wire"
 
 // LaunchDelivery tracks the messages of this term that may still deliver a launch of an
 // attempt: a direct command that is under way or was never answered, or the response to a
@@ -87,21 +83,13 @@
 func (m *Machine) LacksLaunch(heartbeat *wire.Heartbeat) bool {
 	for task, a := range m.Attempts {
 		expected := !a.SeenInHeartbeat && a.launchedByResponseTo(heartbeat.Epoch) && heartbeat.Sequence > a.ResponseSequence
-		if expected && !listsAttempt(heartbeat, task, a.Number) {
+		if expected && !heartbeat.Lists(task, a.Number) {
 			return true
 		}
 	}
 	return false
 }
 
-// listsAttempt reports whether a heartbeat has a status of the attempt.
-func listsAttempt(heartbeat *wire.Heartbeat, task wire.TaskID, number wire.AttemptNumber) bool {
-	name := task.String()
-	return slices.ContainsFunc(heartbeat.Tasks, func(status wire.TaskStatus) bool {
-		return status.Task == name && status.Attempt == number
-	})
-}
-
 // UnansweredCommand identifies the newest direct command that was never answered; a token
 // of 0: there is none.
 type UnansweredCommand struct {
--- a/internal/leader/delegation/delegate.go
+++ b/internal/leader/delegation/delegate.go
@@ -101,7 +101,7 @@
 			break
 		}
 		if state := &heartbeat.Tasks[i]; d.mustStop(state) {
-			stops = append(stops, stopAtOnce(state))
+			stops = append(stops, state.StopAtOnce())
 		}
 	}
 	return stops
@@ -117,11 +117,6 @@
 	return cancelled
 }
 
-func stopAtOnce(state *wire.TaskStatus) wire.Command {
-	noGracePeriod := wire.Seconds(0)
-	return wire.Command{Verb: wire.VerbStop, Task: state.Task, Attempt: state.Attempt, GracePeriod: &noGracePeriod}
-}
-
 // renewalToken returns the token with which this node may renew the lease of an agent that has
 // seen the given token, and whether it may. The delegation must be recent and carry the newest
 // token that the node or the agent knows, the node must have lost contact with the leader, and
--- a/internal/leader/reconcile/answer.go
+++ b/internal/leader/reconcile/answer.go
@@ -1,7 +1,6 @@
 package reconcile
 
 import (
-	"slices"
 	"time"
 
 	"lilaclead/internal/leader/cluster"
@@ -165,7 +164,7 @@
 func (rc *Reconciler) renewalWithheld(machine *cluster.Machine, heartbeat *wire.Heartbeat, now time.Time) bool {
 	cancelCutoff := now.Add(-rc.state.Delegation.MaxCancelAge)
 	for task, attempt := range machine.Attempts {
-		if cancelledBefore(cancelCutoff, attempt) && directLaunchMayArrive(attempt, rc.Fencing.Token) && !listsAttempt(heartbeat, task, attempt.Number) {
+		if cancelledBefore(cancelCutoff, attempt) && directLaunchMayArrive(attempt, rc.Fencing.Token) && !heartbeat.Lists(task, attempt.Number) {
 			return true
 		}
 	}
@@ -188,11 +187,3 @@
 	}
 	return attempt.LaunchUnanswered && token <= attempt.UnansweredLaunchToken
 }
-
-// listsAttempt reports whether a heartbeat contains an attempt of a task.
-func listsAttempt(heartbeat *wire.Heartbeat, task wire.TaskID, number wire.AttemptNumber) bool {
-	name := task.String()
-	return slices.ContainsFunc(heartbeat.Tasks, func(status wire.TaskStatus) bool {
-		return status.Task == name && status.Attempt == number
-	})
-}
--- a/internal/leader/reconcile/restart.go
+++ b/internal/leader/reconcile/restart.go
@@ -1,7 +1,6 @@
 package reconcile
 
 import (
-	"slices"
 	"time"
 
 	"lilaclead/internal/leader/agents"
@@ -31,16 +30,12 @@
 // rejectRestarted rejects a heartbeat of a machine that has restarted. It fences the machine once
 // more if the heartbeat shows that this did not succeed, or that the machine has restarted again.
 func (rc *Reconciler) rejectRestarted(machine *cluster.Machine, heartbeat *wire.Heartbeat) HeartbeatResponse {
-	if heartbeat.Token <= rc.Fencing.Token || hasUnfinishedTask(heartbeat) {
+	if heartbeat.Token <= rc.Fencing.Token || heartbeat.HasUnfinishedTask() {
 		rc.dispatcher.Fence(machine, heartbeat)
 	}
 	return HeartbeatResponse{Rejected: errMachineRestarted}
 }
 
-func hasUnfinishedTask(heartbeat *wire.Heartbeat) bool {
-	return slices.ContainsFunc(heartbeat.Tasks, func(status wire.TaskStatus) bool { return status.Phase != wire.PhaseExited })
-}
-
 // OnFenceOutcome handles the outcome of fencing a restarted machine. Once it is fenced, no copy of a
 // launch can start the attempts that it lacks, so that they are lost.
 func (rc *Reconciler) OnFenceOutcome(outcome agents.FenceOutcome) {
--- a/internal/leader/restarts/guard.go
+++ b/internal/leader/restarts/guard.go
@@ -20,7 +20,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -132,12 +131,7 @@
 // interest: the agent has seen no token, or it has just started and runs tasks.
 func mayHaveRestarted(heartbeat *wire.Heartbeat) bool {
 	young := heartbeat.Epoch == 1 && heartbeat.Sequence <= youngSequence
-	return HasNoMemory(heartbeat) || young && runsTasks(heartbeat)
-}
-
-// runsTasks reports whether a heartbeat has a task that has not exited.
-func runsTasks(heartbeat *wire.Heartbeat) bool {
-	return slices.ContainsFunc(heartbeat.Tasks, func(status wire.TaskStatus) bool { return status.Phase != wire.PhaseExited })
+	return HasNoMemory(heartbeat) || young && heartbeat.HasUnfinishedTask()
 }
 
 // Check has the sender of a heartbeat fenced, if its machine may have restarted. The heartbeat is one
@@ -189,7 +183,7 @@
 	present, _, err := g.Agents.Send(ctx, heartbeat.Addr, probe, agents.ProbeTimeout)
 	switch {
 	case err != nil || present.Machine != heartbeat.Machine:
-	case present.Token <= wire.MinToken && !runsTasks(present):
+	case present.Token <= wire.MinToken && !present.HasUnfinishedTask():
 		// What it lists from now on is the work of late copies, or of a leader that starts it again.
 		g.fence(ctx, present, agents.AnyTask)
 	case mayHaveRestarted(present):
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -1,5 +1,7 @@
 package wire
 
+import "slices"
+
 // TaskPhase is the state of a task on its machine.
 type TaskPhase string
 
@@ -59,6 +61,19 @@
 	return h.Epoch > epoch || h.Epoch == epoch && h.Sequence > sequence
 }
 
+// Lists reports whether the heartbeat has a status of the attempt of a task.
+func (h *Heartbeat) Lists(task TaskID, attempt AttemptNumber) bool {
+	name := task.String()
+	return slices.ContainsFunc(h.Tasks, func(status TaskStatus) bool {
+		return status.Task == name && status.Attempt == attempt
+	})
+}
+
+// HasUnfinishedTask reports whether the heartbeat has a task that has not exited.
+func (h *Heartbeat) HasUnfinishedTask() bool {
+	return slices.ContainsFunc(h.Tasks, func(status TaskStatus) bool { return status.Phase != PhaseExited })
+}
+
 // HeartbeatPosition is the place of a heartbeat among those of its machine. The zero value precedes
 // all heartbeats.
 type HeartbeatPosition struct {
@@ -98,6 +113,12 @@
 	GracePeriod *Seconds      `cbor:"windDownS,omitempty"`
 }
 
+// StopAtOnce returns the command that stops the task without a grace period.
+func (s *TaskStatus) StopAtOnce() Command {
+	noGracePeriod := Seconds(0)
+	return Command{Verb: VerbStop, Task: s.Task, Attempt: s.Attempt, GracePeriod: &noGracePeriod}
+}
+
 // Commands is the response to a heartbeat, or a request that is sent to an agent directly.
 // Epoch is set only in the request.
 type Commands struct {
