--- a/internal/leader/restarts/guard.go
+++ b/internal/leader/restarts/guard.go
@@ -152,25 +152,28 @@
 	}
 }
 
-// Run fences agents until the context ends.
+// Run fences agents until the context ends, up to workerCount at the same time.
 func (g *Guard) Run(ctx context.Context) {
 	var workers sync.WaitGroup
-	for range workerCount {
-		workers.Go(func() { g.work(ctx) })
-	}
-	workers.Wait()
-}
-
-func (g *Guard) work(ctx context.Context) {
+	defer workers.Wait()
+	slots := make(chan struct{}, workerCount)
 	for {
+		select {
+		case <-ctx.Done():
+			return
+		case slots <- struct{}{}:
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case heartbeat := <-g.queue:
-			g.examine(ctx, &heartbeat)
-			g.mu.Lock()
-			delete(g.pending, heartbeat.Machine)
-			g.mu.Unlock()
+			workers.Go(func() {
+				defer func() { <-slots }()
+				g.examine(ctx, &heartbeat)
+				g.mu.Lock()
+				delete(g.pending, heartbeat.Machine)
+				g.mu.Unlock()
+			})
 		}
 	}
 }
